Ask every replica too old for a session's read, each 100 ms

A session's read comes 100 to 800 ms after its write, but replicas were asked for their position one pick at a time and no sooner than one bound (3 s) of another class after the last time. So nearly none was known to have the write; the reads crowded onto the primary's share, waited, and were refused.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -25,6 +25,9 @@
 /// how long a report that is as old as what is known counts as a new reading.
 const LAG_MEMORY: Span = Span::millis(1_000);
 const REPORT_AGE: Span = Span::millis(500);
+/// How often a replica is asked where it stands for reads that follow a session's own write: they come within
+/// less than a second of it, and by the bounded class's interval would find no replica known to have it.
+const SESSION_ASK: Span = Span::millis(100);
 /// An attempt is overdue after the mean of its class's answers and this many deviations, but not before a
 /// part of the aim: a short guess doubles the work. A member is silent after so many times that; 1 tried.
 const OVERDUE: f64 = 4.0;
@@ -349,13 +352,11 @@
         let lagging = pool.is_empty() && self.settings.checks == Checks::Refuse;
         let share = if lagging { LAGGING_SHARE } else { PRIMARY_SHARE };
         pool.retain(|(_, m)| self.room(m, now));
-        // Where members do not check, the random pick is asked for its position if that is not known to do:
-        // asking each member costs more than it brings where routers have little traffic.
+        // Where members do not check, each one whose position is unknown or too old to do is asked for it.
         let mut ask: Vec<MemberId> = Vec::new();
-        if need.is_some() && self.settings.checks == Checks::None && !replicas.is_empty() {
-            let pick = Some(replicas[dice % replicas.len()]);
-            let unknown = pick.filter(|(_, m)| !self.fit(m, need, now) && !self.suspect(m, now));
-            ask.extend(unknown.map(|(id, _)| id.clone()));
+        if need.is_some() && self.settings.checks == Checks::None {
+            let unknown = replicas.iter().filter(|(_, m)| !self.fit(m, need, now) && !self.suspect(m, now));
+            ask.extend(unknown.map(|(id, _)| (*id).clone()));
         }
         let over = self.crowding(now, gid, REPLICA) - self.crowding(now, gid, PRIMARY) - SPILL_OVER;
         let spills = primary.is_some() && !pool.is_empty() && chance < over;
@@ -369,8 +370,10 @@
             let at = steps.find(|at| loads[*at] <= valid).unwrap_or(dice % pool.len());
             Some(pool[at].0.clone())
         };
-        let bound = |class: &Class| if let Need::Bounded(bound) = class.need { Some(bound) } else { None };
-        let every = self.settings.classes.iter().filter_map(bound).min().unwrap_or(LAG_MEMORY);
+        let every = match self.settings.classes[self.open[&id].class].need {
+            Need::Bounded(bound) => bound,
+            _ => SESSION_ASK,
+        };
         self.probe(now, &ask, every, actions);
         if pick.is_none() && self.shown(now, gid).is_none() {
             self.seek(now, gid, actions);
--- a/crates/core/tests/mechanism.rs
+++ b/crates/core/tests/mechanism.rs
@@ -103,6 +103,30 @@
     assert_eq!(sends(&host.ask(READ).1), [member(2)], "member 3 is shown to lag");
 }
 
+#[test]
+fn a_read_of_an_own_write_has_every_replica_asked_anew_well_within_a_bound() {
+    let mut host = Host::new(Settings { checks: Checks::None, ..settings() }, 4);
+    host.probed(1, true, 0);
+    (2..=4).for_each(|at| drop(host.probed(at, false, 10)));
+    host.ask(READ);
+    host.now = host.now + Span::millis(20);
+    let (id, _) = host.ask_as(UNSAFE, Some(7));
+    host.now = host.now + Span::millis(5);
+    host.end_with(id, 0, 1, Verdict::Ok, Some(Role::Primary));
+    host.now = host.now + Span::millis(5);
+    let all = [member(2), member(3), member(4)];
+    assert_eq!(probes(&host.ask_as(OWN, Some(7)).1), all, "what is known is older than the write");
+    assert!(probes(&host.ask_as(OWN, Some(7)).1).is_empty(), "asked a moment ago");
+    // They had not applied it then; a tenth of a second later, long before a bound is over, they may have.
+    host.now = host.now + Span::millis(100);
+    assert_eq!(probes(&host.ask_as(OWN, Some(7)).1), all);
+    host.probed(3, false, 20);
+    let session = sends(&host.ask_as(OWN, Some(7)).1);
+    assert_eq!(session, [member(3)], "shown to have the write");
+    let (_, bounded) = host.ask(READ);
+    assert!(probes(&bounded).is_empty(), "for bounded reads all do");
+}
+
 #[test]
 fn meanwhile_the_groups_reads_go_to_a_shown_primary() {
     let mut host = Host::new(Settings { checks: Checks::None, ..settings() }, 3);
