Give reads part of a primary's place by chance, not only whole ones

Reads get half of a router's limit at the primary. The first limit is shared out among all routers and is 1.5 in a large fleet, so the reads' part is 0.75 places, which held no read: it never went to the primary, however idle that was, and the limit never grew because nothing was in use. The part that is less than one is now given by chance.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -361,7 +361,8 @@
         let over = self.crowding(now, gid, REPLICA) - self.crowding(now, gid, PRIMARY) - SPILL_OVER;
         let spills = primary.is_some() && !pool.is_empty() && chance < over;
         let pick = if pool.is_empty() || spills {
-            let spare = |m: &Member| fresh_only || spills || self.in_work(m, now) + 1.0 <= m.limit * share;
+            // A share of a few places leaves parts of one: given by chance, or many routers' reads never get any.
+            let spare = |m: &Member| fresh_only || spills || self.in_work(m, now) + chance <= m.limit * share;
             primary.filter(|id| spare(&self.members[*id]) && self.room(&self.members[*id], now)).cloned()
         } else {
             let loads: Vec<f64> = pool.iter().map(|(_, m)| self.load(m, now)).collect();
--- a/crates/core/tests/mechanism.rs
+++ b/crates/core/tests/mechanism.rs
@@ -134,6 +134,22 @@
     assert_eq!(sends(&host.ask(READ).1), [member(1)]);
 }
 
+#[test]
+fn among_many_routers_a_part_of_the_reads_still_goes_to_the_primary() {
+    // The first limit is shared by all routers: the reads' part of this one's is less than a whole place.
+    let settings = Settings { checks: Checks::None, fleet: 100, ..settings() };
+    let sent = |seed| {
+        let mut host = Host::seeded(seed, settings.clone(), 3);
+        host.probed(1, true, 0);
+        let first = sends(&host.ask(READ).1).len();
+        (first, sends(&host.ask(READ).1).len() * first)
+    };
+    let (first, second): (Vec<_>, Vec<_>) = (1..=200).map(sent).unzip();
+    let first: usize = first.iter().sum();
+    assert!((100..200).contains(&first), "{first} of 200 sent, no other member being known to do");
+    assert_eq!(second.iter().sum::<usize>(), 0, "no second one beside it");
+}
+
 #[test]
 fn unknown_members_count_where_members_check() {
     let mut host = Host::new(settings(), 3);
