Weigh probes by their price, and ask whom the last lag lets hope

A fleet of 100 poolers sends each replica's position question 100 times over. Each unfit replica was asked whatever that cost, one that had just shown to lag by many seconds as often as any; one that lags within the bound was not asked again before a whole bound was over, though what was known of it had become too old long before. Now a replica is asked once its last lag lets it do, else once a bound; the price in the settings says how many questions each request brings, and while these are few one is asked at a time, and only while nobody is known to do.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -25,9 +25,12 @@
 /// how long a report that is as old as what is known counts as a new reading.
 const LAG_MEMORY: Span = Span::millis(1_000);
 const REPORT_AGE: Span = Span::millis(500);
-/// How often a replica is asked where it stands for reads that follow a session's own write: they come within
-/// less than a second of it, and by the bounded class's interval would find no replica known to have it.
-const SESSION_ASK: Span = Span::millis(100);
+/// How soon a replica is asked where it stands once more, if it may do by now: reads follow a session's own
+/// write within less than a second.
+const ASK_AGAIN_SOON: Span = Span::millis(100);
+/// What such questions may cost, in points of the result, and how many may be saved up.
+const ASKS_PRICE: f64 = 0.02;
+const ASKS_MOST: f64 = 10.0;
 /// An attempt is overdue after the mean of its class's answers and this many deviations, but not before a
 /// part of the aim: a short guess doubles the work. A member is silent after so many times that; 1 tried.
 const OVERDUE: f64 = 4.0;
@@ -127,6 +130,8 @@
     /// Answers, of all members in service.
     served: Counts,
     in_service: f64,
+    /// Questions for positions that may be asked.
+    asks: f64,
     retries: f64,
     wake: Option<Time>,
     swept: Time,
@@ -159,6 +164,7 @@
             crowd: [Counts::default(); 2],
             served: Counts::default(),
             in_service: 0.0,
+            asks: ASKS_MOST,
             retries: 1.0,
             wake: None,
             swept: NEVER,
@@ -284,6 +290,8 @@
         };
         self.tally(now, &open, [0.0, 1.0]);
         self.retries = (self.retries + RETRY_GAIN).min(RETRY_MOST);
+        let affordable = ASKS_PRICE / self.settings.probe_price.max(f64::EPSILON);
+        self.asks = (self.asks + affordable).min(ASKS_MOST);
         self.due.insert((deadline, request.id));
         self.open.insert(request.id, open);
         self.place(now, request.id, actions);
@@ -333,7 +341,9 @@
         let (dice, chance) = (self.rng.next_u32() as usize, self.chance());
         let open = self.open.get(&id)?;
         let need = self.need(now, open);
-        let fresh_only = self.settings.classes[open.class].need == Need::Fresh;
+        let class = &self.settings.classes[open.class];
+        let fresh_only = class.need == Need::Fresh;
+        let every = if let Need::Bounded(bound) = class.need { bound } else { LAG_MEMORY };
         let gid = open.group;
         let primary = self.shown(now, gid).or(self.on_trial(now, gid).filter(|_| fresh_only));
         let group = self.groups.get(&gid)?;
@@ -352,11 +362,15 @@
         let lagging = pool.is_empty() && self.settings.checks == Checks::Refuse;
         let share = if lagging { LAGGING_SHARE } else { PRIMARY_SHARE };
         pool.retain(|(_, m)| self.room(m, now));
-        // Where members do not check, each one whose position is unknown or too old to do is asked for it.
+        // Where members do not check, those are asked for their position of whom it is unknown or too old to
+        // do: while the price allows, all; else one at a time while nobody is known to do.
         let mut ask: Vec<MemberId> = Vec::new();
-        if need.is_some() && self.settings.checks == Checks::None {
-            let unknown = replicas.iter().filter(|(_, m)| !self.fit(m, need, now) && !self.suspect(m, now));
-            ask.extend(unknown.map(|(id, _)| (*id).clone()));
+        if let Some(need) = need.filter(|_| self.settings.checks == Checks::None && !replicas.is_empty()) {
+            let turned = (0..replicas.len()).map(|step| replicas[(dice + step) % replicas.len()]);
+            let due = turned.filter(|(_, m)| !self.suspect(m, now) && self.worth_asking(m, need, every, now));
+            let most =
+                if self.asks >= ASKS_MOST / 2.0 { replicas.len() } else { usize::from(pool.is_empty()) };
+            ask.extend(due.take(most.min(self.asks as usize)).map(|(id, _)| id.clone()));
         }
         let over = self.crowding(now, gid, REPLICA) - self.crowding(now, gid, PRIMARY) - SPILL_OVER;
         let spills = primary.is_some() && !pool.is_empty() && chance < over;
@@ -371,11 +385,8 @@
             let at = steps.find(|at| loads[*at] <= valid).unwrap_or(dice % pool.len());
             Some(pool[at].0.clone())
         };
-        let every = match self.settings.classes[self.open[&id].class].need {
-            Need::Bounded(bound) => bound,
-            _ => SESSION_ASK,
-        };
-        self.probe(now, &ask, every, actions);
+        self.asks -= ask.len() as f64;
+        self.probe(now, &ask, Span(0), actions);
         if pick.is_none() && self.shown(now, gid).is_none() {
             self.seek(now, gid, actions);
         }
@@ -626,6 +637,13 @@
         self.settings.checks == Checks::Refuse && !refused && (age > LAG_MEMORY || m.position + age >= need)
     }
 
+    /// Whether a replica not known to be fit may be by now: one that lags no more than when it was last read, or
+    /// of which nothing was read for so long.
+    fn worth_asking(&self, m: &Member, need: Time, every: Span, now: Time) -> bool {
+        let hopeful = m.position + (now - m.read_at) >= need;
+        m.position < need && now - m.probed.max(m.read_at) >= if hopeful { ASK_AGAIN_SOON } else { every }
+    }
+
     // ---- The valid member: silence, failures, slowness, refusals and cold all make it less so
 
     fn judge(&mut self, now: Time, id: &MemberId, verdict: Verdict, took: Span, out: Option<&Out>) {
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -206,6 +206,8 @@
     pub second_copies: bool,
     /// Whether [`Action::Probe`] is allowed.
     pub probes: bool,
+    /// What one probe for each first try would take off the result; 0 where they cost nothing.
+    pub probe_price: f64,
     /// Whether [`Action::Cancel`] is allowed.
     pub cancels: bool,
     /// Whether clients are shown a retry-after.
@@ -255,6 +257,7 @@
             max_attempts: 1,
             second_copies: false,
             probes: false,
+            probe_price: 0.0,
             cancels: false,
             retry_after: false,
             max_retry_after: Span(0),
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -177,6 +177,7 @@
         max_attempts: keys.number("Limits.SendCap")? as u32,
         second_copies: keys.flag("Limits.MayDuplicate")?,
         probes: keys.flag("Limits.Probing")?,
+        probe_price: keys.number_or("Costs.Probe", 0.0)?.max(0.0),
         cancels: keys.flag("Limits.Cancel")?,
         retry_after: keys.flag("Limits.RetryAfter")?,
         max_retry_after: span(keys.number_or("Limits.MaxRetryAfter", 0.0)?),
