Ask the listed primary before all members at a fresh start

The list shows the primary, late but seldom wrong; its word is waited for 250 ms, then all are asked as before.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -1,11 +1,9 @@
 //! Every decision of linnetdeal. The types, events and actions stand in `interface.rs`.
 //!
-//! Map: tuned values; `Router::handle`; the list; placing; outcomes; evidence of role and position; the one
-//! notion of a *valid* member (`judge`, `load`, `suspect`, `room`); crowding; probes; the sweep.
+//! Map: tuned values; `handle`; the list; placing; outcomes; evidence; the valid member; crowding; probes.
 //!
-//! The mechanism is Wu and Kemme's: a read goes to a random member of those fresh enough; only when that
-//! one's load is over the threshold do the next `FORWARD` in sorted order get a look, else the first pick
-//! serves. A write goes to the marked primary, walks on proof that nothing ran, and is then held.
+//! Wu and Kemme's mechanism: a read goes to a random member fresh enough; if that is over the threshold, to
+//! the first under it of the next `FORWARD`. A write goes to the mark, walks on proof, and is then held.
 
 use crate::handover::Candidate;
 use crate::interface::*;
@@ -21,14 +19,14 @@
 /// How often held requests are looked over, and how late a wake tells of an own stall, not of members.
 const SWEEP: Span = Span::millis(10);
 const STALL: Span = Span::millis(60);
-/// How long a refused read, or a reading of a lag, is held against a member that checks its reads; and after
-/// how long a report that is as old as what is known counts as a new reading.
+/// How long a refused read or a lag counts against a member, and after how long an old report is news.
 const LAG_MEMORY: Span = Span::millis(1_000);
 const REPORT_AGE: Span = Span::millis(500);
-/// How soon a replica is asked where it stands once more, if it may do by now: reads follow a session's own
-/// write within less than a second.
+/// How soon a replica that may be fit by now is asked again (reads come within a second of own writes), and
+/// how long a fresh router waits for the word of the listed primary.
 const ASK_AGAIN_SOON: Span = Span::millis(100);
-/// What such questions may cost, in points of the result, and how many may be saved up.
+const SEEK_LISTED: Span = Span::millis(250);
+/// What questions for positions may cost, in points of the result, and how many may be saved up.
 const ASKS_PRICE: f64 = 0.02;
 const ASKS_MOST: f64 = 10.0;
 /// An attempt is overdue after the mean of its class's answers and this many deviations, but not before a
@@ -36,9 +34,8 @@
 const OVERDUE: f64 = 4.0;
 const LEAST_PATIENCE: f64 = 0.3;
 const SILENCE: f64 = 2.0;
-/// Deviations above the mean that a read must have left to be worth sending; 0 to 3 tried, each better. Asked
-/// of what waited and, from this crowding (0.35 lost 0.02), of part of the new reads: of all, no answer would
-/// show that the crowd has gone.
+/// Deviations above the mean that a read must have left to be worth sending: of what waited and, from this
+/// crowding (0.35 lost 0.02), of part of the new: of all, no answer would show that the crowd has gone.
 const SURE: f64 = 3.0;
 const HOPELESS_CROWD: f64 = 0.525;
 const HOPELESS_NEW: f64 = 0.8;
@@ -56,9 +53,8 @@
 const MOST_DOUBLINGS: u32 = 5;
 /// A request that this many members answered with an error is at fault itself; it harms no member.
 const FUTILE_ERRORS: usize = 2;
-/// Concurrency limit at a member: the first (over all routers) and the least for one router, what a sign of
-/// crowding leaves of it, the part in use from which it grows and the most that it grows by, as a part of
-/// itself, and the part of a primary's that reads fill.
+/// Concurrency limit at a member: the first (of all routers) and the least for one, what crowding leaves, the
+/// part in use from which it grows, the most that it grows by, and the part of a primary's that reads fill.
 const FIRST_LIMIT: f64 = 16.0;
 const LEAST_FIRST_LIMIT: f64 = 1.5;
 const LEAST_LIMIT: f64 = 1.0;
@@ -71,28 +67,24 @@
 /// The part of the aim within which an answer comes from a member that is not crowded; 0.6 tried.
 const IN_GOOD_TIME: f64 = 0.4;
 /// Crowding, the share of answers not in good time: where shedding starts and is complete, an idle fleet's,
-/// how many answers what is seen elsewhere counts for (most routers see few), and how much more crowded than
-/// the primary its replicas must be for reads to spill over to it, by a chance that grows with the rest.
+/// how many answers a prior counts for, and how much less the primary's must be for reads to spill over.
 const CROWDED: f64 = 0.35;
 const JAMMED: f64 = 0.7;
 const CROWD_IDLE: f64 = 0.2;
 const CROWD_PRIOR: f64 = 3.0;
 const SPILL_OVER: f64 = 0.2;
-/// The part of the cold budget that is used, counted from what members serve, which is well under what they
-/// could (0.6 starved deploys); and the microseconds whose budget may be saved up.
-const COLD_CAUTION: f64 = 1.0;
+/// The microseconds whose cold budget, counted from what members serve, may be saved up.
 const COLD_BURST: f64 = 1e5;
 /// Second tries that each request brings to the retry budget, and the most that it holds.
 const RETRY_GAIN: f64 = 0.1;
 const RETRY_MOST: f64 = 10.0;
-/// The first guess of a class's pace in parts of its aim, the answers it counts for, and how many the pace
-/// remembers. By a shorter guess routers with little traffic timed out a tenth of a quiet day.
+/// The first guess of a class's pace in parts of its aim (less timed out a tenth of a quiet day), the answers
+/// it counts for, and how many the pace remembers.
 const PACE_MEAN: f64 = 0.25;
 const PACE_DEV: f64 = 0.125;
 const PACE_PRIOR: f64 = 4.0;
 const PACE_MEMORY: f64 = 33.0;
-/// Load: what slowness keeps with each answer and its bounds, so that a few answers can neither hide nor damn
-/// a member; the most that an attempt out counts, and what illness counts.
+/// Load: what slowness keeps with an answer, its bounds, what an attempt out at most and illness count.
 const SLOW_KEEPS: f64 = 0.9;
 const QUICKEST: f64 = 0.3;
 const SLOWEST: f64 = 10.0;
@@ -375,7 +367,7 @@
         let over = self.crowding(now, gid, REPLICA) - self.crowding(now, gid, PRIMARY) - SPILL_OVER;
         let spills = primary.is_some() && !pool.is_empty() && chance < over;
         let pick = if pool.is_empty() || spills {
-            // A share of a few places leaves parts of one: given by chance, or many routers' reads never get any.
+            // A share of few places leaves parts of one: given by chance, or a fleet's reads never get any.
             let spare = |m: &Member| fresh_only || spills || self.in_work(m, now) + chance <= m.limit * share;
             primary.filter(|id| spare(&self.members[*id]) && self.room(&self.members[*id], now)).cloned()
         } else {
@@ -637,8 +629,8 @@
         self.settings.checks == Checks::Refuse && !refused && (age > LAG_MEMORY || m.position + age >= need)
     }
 
-    /// Whether a replica not known to be fit may be by now: one that lags no more than when it was last read, or
-    /// of which nothing was read for so long.
+    /// Whether a replica not known to be fit may be by now: if it lags no more than when last read, or after
+    /// so long.
     fn worth_asking(&self, m: &Member, need: Time, every: Span, now: Time) -> bool {
         let hopeful = m.position + (now - m.read_at) >= need;
         m.position < need && now - m.probed.max(m.read_at) >= if hopeful { ASK_AGAIN_SOON } else { every }
@@ -692,8 +684,8 @@
             Verdict::Timeout if lost => {}
             Verdict::Timeout if !lone => m.crowded(now, took, work),
             Verdict::Timeout | Verdict::Reset | Verdict::Broken => m.strike(now, LOST_ANSWER),
-            // It was down, so if it comes back it is cold, whatever the list says.
             Verdict::ConnectFailed => {
+                // It was down: if it comes back it is cold, whatever the list says.
                 m.strike(now, NO_CONNECTION);
                 m.start(now, now, credit.min(dice));
             }
@@ -703,9 +695,8 @@
                 m.strike(now, NO_CONNECTION);
                 m.limit = LEAST_LIMIT;
             }
-            // Full, or draining: let it rest for as long as an answer takes, or the whole group is hammered.
-            // Who turns writes away is asked less and less often: it may drain, which the list tells late,
-            // and all of a write's attempts would be spent by then.
+            // Full, or draining, which the list tells late: it rests for as long as an answer takes, longer
+            // each time it turns a write away, whose attempts would all be spent by then.
             Verdict::Full => {
                 m.crowded(now, took, work);
                 let write = out.is_some_and(|out| self.settings.classes[out.class].need == Need::Write);
@@ -800,7 +791,7 @@
     /// and the part of its capacity that it surely has; saved up for one send and little more.
     fn credit(&self, m: &Member, now: Time) -> f64 {
         let usual = self.served.now(now, MEMORY)[1] / MEMORY / self.in_service.max(1.0);
-        let rate = usual * self.settings.fall_multiple * self.warmth(m, now) * COLD_CAUTION;
+        let rate = usual * self.settings.fall_multiple * self.warmth(m, now);
         (m.credit.1 + rate * (now - m.credit.0).0 as f64).min(1.0 + rate * COLD_BURST)
     }
 
@@ -835,6 +826,13 @@
     fn seek(&mut self, now: Time, gid: GroupId, actions: &mut Vec<Action>) {
         let Some(group) = self.groups.get(&gid) else { return };
         let known = group.members.iter().map(|id| (id, &self.members[id]));
+        // A fresh router asks whom the list shows before it asks all: it is seldom wrong.
+        let silent = |m: &Member| m.primary_at.max(m.replica_at) == Time::default();
+        let waits = |m: &Member| m.probed == Time::default() || now - m.probed < SEEK_LISTED;
+        let first = |m: &Member| m.listed_primary && silent(m) && waits(m) && self.sendable(m);
+        if let Some(id) = known.clone().find(|(_, m)| first(m)).map(|(id, _)| id.clone()) {
+            return self.probe(now, &[id], SEEK_LISTED, actions);
+        }
         let candidates: Vec<_> = known
             .filter(|(_, m)| self.sendable(m))
             .map(|(member, m)| Candidate {
@@ -946,20 +944,6 @@
 }
 
 impl Member {
-    fn new(group: GroupId, limit: f64) -> Self {
-        let state = ListState::Gone;
-        Self {
-            group,
-            state,
-            limit,
-            slow: 1.0,
-            position: NEVER,
-            read_at: NEVER,
-            reached: NEVER,
-            ..Self::default()
-        }
-    }
-
     fn start(&mut self, now: Time, at: Time, credit: f64) {
         (self.started, self.limit, self.credit) = (Some(at), LEAST_LIMIT, (now, credit));
     }
@@ -974,10 +958,6 @@
         f64::from(u8::from(self.state == ListState::Healthy)) - f64::from(u8::from(served))
     }
 
-    fn role(&self) -> usize {
-        if self.primary_at > self.replica_at { PRIMARY } else { REPLICA }
-    }
-
     fn strike(&mut self, now: Time, weight: f64) {
         self.ill += (1.0 - self.ill) * weight;
         if self.ill >= EJECTED_AT && now >= self.ejected {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -57,6 +57,28 @@
     pub(crate) refusals: u32,
 }
 
+impl Member {
+    /// One of which nothing is known yet.
+    pub(crate) fn new(group: GroupId, limit: f64) -> Self {
+        let state = ListState::Gone;
+        Self {
+            group,
+            state,
+            limit,
+            slow: 1.0,
+            position: NEVER,
+            read_at: NEVER,
+            reached: NEVER,
+            ..Self::default()
+        }
+    }
+
+    /// As what it was shown last.
+    pub(crate) fn role(&self) -> usize {
+        if self.primary_at > self.replica_at { PRIMARY } else { REPLICA }
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Group {
     pub(crate) members: BTreeSet<MemberId>,
--- a/crates/core/tests/mechanism.rs
+++ b/crates/core/tests/mechanism.rs
@@ -50,6 +50,22 @@
     assert_eq!(sends(&host.ask(UNSAFE).1), [member(2)]);
 }
 
+#[test]
+fn a_fresh_router_asks_the_listed_primary_before_it_asks_all() {
+    let mut host = Host::new(Settings { checks: Checks::None, ..settings() }, 5);
+    host.tell(Event::List(Listing::Changes(vec![Entry { primary: true, ..entry(3) }])));
+    let (_, actions) = host.ask(FRESH);
+    assert_eq!(probes(&actions), [member(3)]);
+    assert!(probes(&host.pass(240)).is_empty(), "its word is waited for");
+    host.now = host.now + Span::millis(10);
+    assert_eq!(
+        probes(&host.ask(FRESH).1).len(),
+        5,
+        "it is silent: all are asked, as where the list is wrong"
+    );
+    assert_eq!(sends(&host.probed(4, true, 5)), [member(4)]);
+}
+
 #[test]
 fn after_one_round_of_misses_a_write_waits_for_a_shown_primary() {
     let mut host = Host::new(settings(), 3);
