Count a router's own life, and spare room, into the cold budget

The budget for a member that started is a multiple of what members usually serve: answers of the late past over 7 s. A router 5 s old had half of that memory empty and so took its members for half as busy as they were; and what members serve was taken for all that they can, though they run at two thirds of it. In a release of all members, reads that found a fit but cold member were held until it was too late. The memory is now no longer than the router's life (5 s at least, or a fleet that has just started would push members over), and half as much again is given unless replicas are jammed.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -73,8 +73,11 @@
 const CROWD_IDLE: f64 = 0.2;
 const CROWD_PRIOR: f64 = 3.0;
 const SPILL_OVER: f64 = 0.2;
-/// The microseconds whose cold budget, counted from what members serve, may be saved up.
+/// The microseconds whose cold budget may be saved up, the least that a router's life counts as, and what
+/// members can, as a multiple of what they serve while there is no jam: sites run at two thirds or less.
 const COLD_BURST: f64 = 1e5;
+const LEAST_LIFE: f64 = 5e6;
+const SPARE: f64 = 1.5;
 /// Second tries that each request brings to the retry budget, and the most that it holds.
 const RETRY_GAIN: f64 = 0.1;
 const RETRY_MOST: f64 = 10.0;
@@ -121,6 +124,8 @@
     crowd: [Counts; 2],
     /// Answers, of all members in service.
     served: Counts,
+    /// When the first came.
+    began: Time,
     in_service: f64,
     /// Questions for positions that may be asked.
     asks: f64,
@@ -155,6 +160,7 @@
             tokens: HashMap::new(),
             crowd: [Counts::default(); 2],
             served: Counts::default(),
+            began: Time(i64::MAX),
             in_service: 0.0,
             asks: ASKS_MOST,
             retries: 1.0,
@@ -275,10 +281,8 @@
             arrived: now,
             aim: (now + class.aim + stretch).min(deadline),
             deadline,
-            attempts: Vec::new(),
-            may_have_run: false,
-            misses: 0,
             due: deadline,
+            ..Open::default()
         };
         self.tally(now, &open, [0.0, 1.0]);
         self.retries = (self.retries + RETRY_GAIN).min(RETRY_MOST);
@@ -393,8 +397,7 @@
         let group = self.groups.get(&gid)?;
         let usable = |id: &&MemberId| self.sendable(&self.members[*id]);
         let count = group.members.iter().filter(usable).count() as u32;
-        // A fresh router starts where the list points, else at the lowest id; a mark that may not be
-        // sent to any more passes to the next.
+        // A fresh router starts where the list points, else at the lowest id; an unusable mark passes on.
         let listed = group.members.iter().filter(usable).find(|id| self.members[*id].listed_primary);
         let kept = group.mark.as_ref().filter(usable).or(listed).cloned();
         let mark = kept.or_else(|| self.next_member(gid, group.mark.as_ref()))?;
@@ -560,20 +563,16 @@
 
     fn report(&mut self, now: Time, id: &MemberId, report: Option<&[f64]>) {
         let Some((report, m)) = report.zip(self.members.get_mut(id)) else { return };
-        let value = |field| {
-            let at = self.settings.report.iter().position(|f| *f == field)?;
-            report.get(at).copied().filter(|value: &f64| value.is_finite())
-        };
-        let position = value(Field::Position).map(|s| self.settings.zero + Span((s * 1e6) as i64));
+        let (position, primary) = self.settings.reading(report);
         let Some(position) = position.filter(|position| *position <= now) else { return };
         if position > m.position || now - m.read_at > REPORT_AGE {
             m.read_at = now;
         }
         m.position = m.position.max(position);
         self.stirred.insert(m.group);
-        match value(Field::Primary) {
-            Some(role) if role >= 0.5 => self.show_primary(now, id, position),
-            Some(_) => m.replica_at = m.replica_at.max(position),
+        match primary {
+            Some(true) => self.show_primary(now, id, position),
+            Some(false) => m.replica_at = m.replica_at.max(position),
             None => {}
         }
     }
@@ -629,8 +628,7 @@
         self.settings.checks == Checks::Refuse && !refused && (age > LAG_MEMORY || m.position + age >= need)
     }
 
-    /// Whether a replica not known to be fit may be by now: if it lags no more than when last read, or after
-    /// so long.
+    /// Whether a replica not known to be fit may be by now: by its lag when last read, or after so long.
     fn worth_asking(&self, m: &Member, need: Time, every: Span, now: Time) -> bool {
         let hopeful = m.position + (now - m.read_at) >= need;
         m.position < need && now - m.probed.max(m.read_at) >= if hopeful { ASK_AGAIN_SOON } else { every }
@@ -672,6 +670,7 @@
                     m.limit += (1.0 / m.limit).min(m.limit * LIMIT_GROWTH);
                 }
                 self.served.add(now, MEMORY, [0.0, 1.0]);
+                self.began = self.began.min(now);
                 m.ill *= HEALING;
                 m.refusals = 0;
                 m.ejections = m.ejections.saturating_sub(1);
@@ -689,8 +688,7 @@
                 m.strike(now, NO_CONNECTION);
                 m.start(now, now, credit.min(dice));
             }
-            // Silent, or cut off: it need not have started anew. The list says so if it has; until then a few
-            // at a time show what it can do.
+            // Silent or cut off: it need not have started anew. Until the list tells, few show what it can.
             Verdict::Unreachable => {
                 m.strike(now, NO_CONNECTION);
                 m.limit = LEAST_LIMIT;
@@ -755,8 +753,7 @@
         now - out.sent > self.pace[out.class].takes(OVERDUE).times(SILENCE)
     }
 
-    /// Whether it is, and either what was sent later has been answered, so that its connection alone is
-    /// silent, or nothing has been since. Else it may be waiting its turn.
+    /// Whether it is, and what was sent later was answered, or nothing since. Else it may wait its turn.
     fn lost(&self, m: &Member, out: &Out, now: Time) -> bool {
         self.overdue(out, now) && (out.sent < m.reached || out.sent > m.heard)
     }
@@ -765,8 +762,7 @@
         m.out.values().filter(|out| !self.lost(m, out, now)).count() as f64
     }
 
-    /// What a member works at for this router, as far as is known: giving an attempt up stops nothing there,
-    /// and one that is far overdue got lost.
+    /// What a member works at for this router: giving an attempt up stops nothing; one far overdue got lost.
     fn in_work(&self, m: &Member, now: Time) -> f64 {
         self.live(m, now) + m.left.iter().filter(|done| now < **done).count() as f64
     }
@@ -787,14 +783,22 @@
         now >= m.rested && self.in_work(m, now) < m.limit && !cold
     }
 
-    /// Own share of a cold member's budget: what a member usually serves for this router, times the multiple
-    /// and the part of its capacity that it surely has; saved up for one send and little more.
+    /// Own share of a cold member's budget: the multiple of what it surely can; saved up for little over one.
     fn credit(&self, m: &Member, now: Time) -> f64 {
-        let usual = self.served.now(now, MEMORY)[1] / MEMORY / self.in_service.max(1.0);
-        let rate = usual * self.settings.fall_multiple * self.warmth(m, now);
+        let usual = self.serves(now);
+        let jammed = part(&self.crowd[REPLICA], now, CROWD_IDLE) > HOPELESS_CROWD;
+        let can = usual * if jammed { 1.0 } else { SPARE };
+        let rate = can * self.settings.fall_multiple * self.warmth(m, now);
         (m.credit.1 + rate * (now - m.credit.0).0 as f64).min(1.0 + rate * COLD_BURST)
     }
 
+    /// What a member in service answers for this router in a microsecond, by a memory within its life.
+    fn serves(&self, now: Time) -> f64 {
+        let life = ((now - self.began).0 as f64).max(LEAST_LIFE);
+        let span = MEMORY * (1.0 - (-life / MEMORY).exp());
+        self.served.now(now, MEMORY)[1] / span / self.in_service.max(1.0)
+    }
+
     // ---- Crowding: what the whole fleet's work does to a group, felt by few answers
 
     fn crowding(&self, now: Time, gid: GroupId, role: usize) -> f64 {
@@ -948,8 +952,7 @@
         (self.started, self.limit, self.credit) = (Some(at), LEAST_LIMIT, (now, credit));
     }
 
-    /// A removal does not wipe out a drain: where only drains bind, it binds on. Gives by how
-    /// much the number of members in service changes.
+    /// A removal does not wipe out a drain, which binds on. Gives by how much the number in service changes.
     fn becomes(&mut self, state: ListState) -> f64 {
         let served = self.state == ListState::Healthy;
         if self.state != ListState::Draining || state == ListState::Healthy {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -79,6 +79,18 @@
     }
 }
 
+impl Settings {
+    /// The position and the role that a load report tells, as far as it does.
+    pub(crate) fn reading(&self, report: &[f64]) -> (Option<Time>, Option<bool>) {
+        let value = |field| {
+            let at = self.report.iter().position(|f| *f == field)?;
+            report.get(at).copied().filter(|value: &f64| value.is_finite())
+        };
+        let position = value(Field::Position).map(|s| self.zero + Span((s * 1e6) as i64));
+        (position, value(Field::Primary).map(|role| role >= 0.5))
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Group {
     pub(crate) members: BTreeSet<MemberId>,
@@ -107,7 +119,7 @@
 }
 
 /// A request that is owed its final answer.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Open {
     pub(crate) class: usize,
     pub(crate) tenant: Option<usize>,
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -337,6 +337,36 @@
     assert!(burst <= 2, "{burst} sends to a cold member of unknown size");
 }
 
+#[test]
+fn a_young_router_gives_a_cold_member_the_budget_of_what_it_has_seen() {
+    // Seen on the bench: a router that had run for 5 s took its members for half as busy as they were, and in
+    // a release of all members held its reads until they were too late.
+    let mut host = Host::new(settings(), 2);
+    let serve = |host: &mut Host, every: i64, count: usize| {
+        let mut served = 0;
+        for _ in 0..count {
+            host.now = host.now + Span::millis(every - 5);
+            let (id, actions) = host.ask_within(ANY, 400);
+            let to = sends(&actions);
+            let at = if to == [member(1)] { 1 } else { 2 };
+            served += to.len();
+            host.now = host.now + Span::millis(5);
+            if !to.is_empty() {
+                host.end(id, 0, at, Verdict::Ok);
+            }
+        }
+        served
+    };
+    // Ten a second, for two seconds.
+    assert_eq!(serve(&mut host, 100, 20), 20);
+    let started = Some(host.now);
+    host.tell(Event::List(Listing::Changes(vec![Entry { started, ..entry(2) }])));
+    host.tell(Event::List(Listing::Changes(vec![Entry { state: ListState::Draining, ..entry(1) }])));
+    let sent = serve(&mut host, 50, 40);
+    // Two seconds of three times what a fifth to a third of a member's ten a second and some is.
+    assert!((10..=21).contains(&sent), "{sent} sends");
+}
+
 #[test]
 fn rejected_sends_do_not_swell_the_cold_budget() {
     // Seen on the bench: in a surge warm members turned most work away, and counting that work as their
