Spread a fleet's calls for its watch over a window by its size

Discovery serves all poolers and only so many calls a second. Each pooler now picks a moment in a window of 50 ms for each pooler of the fleet, twice as long after each failure up to four times. A call refused after a wait no longer counts as a watch that had lived.

--- a/crates/net/src/discovery.rs
+++ b/crates/net/src/discovery.rs
@@ -8,6 +8,8 @@
 use async_io::{Async, Timer};
 use event_listener::Event as Bell;
 use futures_lite::future::or;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{RngCore, SeedableRng};
 use std::cell::Cell;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -17,8 +19,13 @@
 /// Empty lines come every 2 s. A watch that misses one is given up and opened anew, since what it would have
 /// told binds 6 s later, arrived or not.
 const SILENCE: Duration = Duration::from_millis(3_200);
-const FIRST_PAUSE: Duration = Duration::from_millis(50);
-const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
+/// A watch that lived so long is asked for again without regard to earlier failures.
+const LIVED: Duration = Duration::from_millis(1_000);
+/// The least pause before a watch is asked for again, the window for the first try by the size of the fleet, and the
+/// longest, as a multiple of the first.
+const LEAST_PAUSE: Duration = Duration::from_millis(50);
+const EACH: Duration = Duration::from_millis(50);
+const MOST_WINDOWS: u32 = 4;
 /// A line longer than this is no list.
 const LONGEST_LINE: usize = 8 * 1024 * 1024;
 
@@ -44,6 +51,37 @@
     }
 }
 
+/// The pauses between the tries to open a watch. All poolers lose theirs at once when discovery breaks them, and it
+/// serves only so many calls a second: a fleet that comes back together swamps it, and goes on doing so, as calls that
+/// have waited too long are failed. So each pooler picks a moment in a window as long as the fleet is large, and in a
+/// longer one each time that it fails.
+#[derive(Debug)]
+pub struct Pauses {
+    rng: ChaCha8Rng,
+    first: Duration,
+    window: Duration,
+}
+
+impl Pauses {
+    /// Those of one pooler of so many. The seed must differ from pooler to pooler.
+    #[must_use]
+    pub fn new(seed: u64, fleet: u32) -> Self {
+        let first = EACH * fleet;
+        Self { rng: ChaCha8Rng::seed_from_u64(seed), first, window: first }
+    }
+
+    /// The pause before the next try; `lived` tells whether there was a watch since the last one.
+    pub fn next_pause(&mut self, lived: bool) -> Duration {
+        if lived {
+            self.window = self.first;
+        }
+        let part = f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
+        let pause = LEAST_PAUSE + self.window.mul_f64(part);
+        self.window = (self.window * 2).min(self.first * MOST_WINDOWS);
+        pause
+    }
+}
+
 #[derive(Debug, thiserror::Error)]
 enum WatchError {
     #[error("{0}")]
@@ -81,8 +119,7 @@
 }
 
 /// Follows discovery for ever, from the version that is known.
-pub async fn run(node: Follower, mut generation: u64) {
-    let mut pause = FIRST_PAUSE;
+pub async fn run(node: Follower, mut generation: u64, mut pauses: Pauses) {
     let mut told = false;
     loop {
         let (before, opened) = (generation, Instant::now());
@@ -97,7 +134,8 @@
             moved.await;
             Ok(())
         };
-        match or(watch(&node, address, &mut generation), left).await {
+        let mut open = false;
+        match or(watch(&node, address, &mut generation, &mut open), left).await {
             // A dropped watch is nothing to report; an answer that makes no sense is, once.
             Err(WatchError::Io(_)) | Ok(()) => {}
             Err(error) if !told => {
@@ -107,12 +145,11 @@
             Err(_) => {}
         }
         if node.source.address.get() != followed {
-            pause = FIRST_PAUSE;
             continue;
         }
-        // Only a watch that fails straight away is not asked for again straight away.
-        let lived = generation != before || opened.elapsed() > LONGEST_PAUSE;
-        pause = if lived { FIRST_PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
+        // One that fails straight away, or is refused after a wait, is no watch.
+        let lived = generation != before || (open && opened.elapsed() > LIVED);
+        let pause = pauses.next_pause(lived);
         let moved = node.source.moved.listen();
         if node.source.address.get() == followed {
             or(moved, async {
@@ -132,8 +169,13 @@
     or(work, silence).await
 }
 
-/// One watch, until its connection ends or falls silent.
-async fn watch(node: &Follower, address: SocketAddr, generation: &mut u64) -> Result<(), WatchError> {
+/// One watch, until its connection ends or falls silent; `open` tells whether discovery granted it.
+async fn watch(
+    node: &Follower,
+    address: SocketAddr,
+    generation: &mut u64,
+    open: &mut bool,
+) -> Result<(), WatchError> {
     let stream = bounded(Async::<TcpStream>::connect(address)).await?;
     let ask = format!(
         "GET /discovery/hosts?follow=1&since={generation} HTTP/1.1\r\nHost: {address}\r\n\
@@ -150,6 +192,7 @@
         }
     };
     buffer.consume(head.size);
+    *open = true;
     let mut line: Vec<u8> = Vec::new();
     loop {
         while !buffer.data().is_empty() {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -22,7 +22,7 @@
 use crate::config::Config;
 use async_executor::LocalExecutor;
 use counters::Shown;
-use discovery::{Follower, Source};
+use discovery::{Follower, Pauses, Source};
 use doubts::Doubts;
 use driver::Driver;
 use life::Life;
@@ -74,6 +74,7 @@
         let executor = Rc::new(LocalExecutor::new());
         let (probes, wanted) = async_channel::unbounded();
         let classes = config.settings.classes.iter().map(|class| (class.name.clone(), class.need)).collect();
+        let pauses = Pauses::new(config.seed, config.settings.fleet);
         let router = Router::new(config.seed, config.settings);
         let driver = Rc::new(Driver::new(router, counters.clone(), probes));
         let longest_deadline = config.host.longest_deadline;
@@ -122,7 +123,7 @@
         executor.spawn(async move { a.run_wakes().await }).detach();
         executor.spawn(async move { b.run_upkeep().await }).detach();
         executor.spawn(probes::run(executor.clone(), driver, pool, wanted)).detach();
-        executor.spawn(discovery::run(follower, config.known.generation)).detach();
+        executor.spawn(discovery::run(follower, config.known.generation, pauses)).detach();
         executor.spawn(frontend::run(Rc::new(door), listener)).detach();
         Ok(Self { executor, life, shown, feed, name: config.name, listening })
     }
