Wait for a read's answer to its deadline, not only to its aim

Where a late answer is worth nothing an attempt was given up at the aim. Here neither a time-out nor a cancel stops the work; giving up costs the open connection, and the client asks again at once, so that the same work is done twice while the group is slow. The test that asked for the cut is replaced by its contrary; it was written for servers that drop what has expired.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -419,8 +419,8 @@
         let class = &self.settings.classes[open.class];
         let pace = self.pace[open.class];
         let patience = pace.takes(OVERDUE).max(class.aim.times(LEAST_PATIENCE));
-        // Work past its last moment of worth only keeps others waiting; servers drop what has expired.
-        let last = if class.late_worth > 0.0 { open.deadline } else { open.aim };
+        // Not cut off at the aim: its work goes on, its connection is lost, and its client asks once more.
+        let last = open.deadline;
         // Second tries stop where the whole group is slow: they would only add to it.
         let again = class.effect == Effect::Safe
             && now + patience + pace.takes(0.0) < open.aim
