Send reads no jammed primary where replicas lag

A read that finds no fit replica may use part of the primary's places. Each of 100 poolers has one place at least, so that while replicas lag up to 100 reads stand at a primary whose writes have nowhere else to go. No such read is sent now while most of the primary's answers are late.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -1,5 +1,4 @@
 //! Every decision of linnetdeal. The types, events and actions stand in `interface.rs`.
-//!
 //! Map: tuned values; `handle`; the list; placing; outcomes; evidence; the valid member; crowding; probes.
 //!
 //! Wu and Kemme's mechanism: a read goes to a random member fresh enough; if that is over the threshold, to
@@ -123,9 +122,8 @@
     tenants: Vec<Counts>,
     tokens: HashMap<SessionKey, Time>,
     crowd: [Counts; 2],
-    /// Answers, of all members in service.
+    /// Answers, of all members in service, and when the first came.
     served: Counts,
-    /// When the first came.
     began: Time,
     in_service: f64,
     /// Questions for positions that may be asked.
@@ -300,7 +298,7 @@
         let class = &self.settings.classes[open.class];
         let spent = open.attempts.len() as u32 >= self.settings.max_attempts;
         let ran = open.may_have_run && class.effect != Effect::Safe;
-        // A read with less time left than an answer takes only keeps others waiting.
+        // What has less time left than an answer takes only keeps others waiting.
         let last = if class.late_worth > 0.0 { open.deadline } else { open.aim };
         let takes = self.pace[open.class].takes(SURE);
         let jam = self.crowding(now, open.group, REPLICA) > HOPELESS_CROWD && chance < HOPELESS_NEW;
@@ -357,7 +355,9 @@
         let best = pool.iter().map(rank).min();
         pool.retain(|of| Some(rank(of)) == best && (best == Some(0) || primary.is_none()));
         let lagging = pool.is_empty() && self.settings.checks == Checks::Refuse;
-        let share = if lagging { LAGGING_SHARE } else { PRIMARY_SHARE };
+        // Writes have nowhere else to go: reads do not add to a jam there.
+        let jammed = self.crowding(now, gid, PRIMARY) > HOPELESS_CROWD;
+        let share = if jammed { 0.0 } else { [PRIMARY_SHARE, LAGGING_SHARE][usize::from(lagging)] };
         pool.retain(|(_, m)| self.room(m, now));
         // Where members do not check, those are asked for their position of whom it is unknown or too old to
         // do: while the price allows, all; else one at a time while nobody is known to do.
@@ -689,7 +689,7 @@
                 m.strike(now, NO_CONNECTION);
                 m.start(now, now, credit.min(dice));
             }
-            // Silent or cut off: it need not have started anew. Until the list tells, few show what it can.
+            // Silent or cut off, not started anew: until the list tells, few show what it can.
             Verdict::Unreachable => {
                 m.strike(now, NO_CONNECTION);
                 m.limit = LEAST_LIMIT;
--- a/crates/core/tests/mechanism.rs
+++ b/crates/core/tests/mechanism.rs
@@ -211,6 +211,29 @@
     assert_eq!(second.iter().sum::<usize>(), 0, "no second one beside it");
 }
 
+#[test]
+fn reads_do_not_add_to_a_jam_at_the_primary() {
+    let settings = Settings { checks: Checks::None, ..settings() };
+    let sent = |took: i64| {
+        let one = |seed| {
+            let mut host = Host::seeded(seed, settings.clone(), 3);
+            host.probed(1, true, 0);
+            for at in 0..12 {
+                let (id, actions) = host.ask(UNSAFE);
+                if !sends(&actions).is_empty() {
+                    host.answer(id, 0, 1, if at % 3 == 0 { 20 } else { took });
+                }
+            }
+            // The replicas are known to lag by far.
+            (2..=3).for_each(|at| drop(host.probed(at, false, 60_000)));
+            sends(&host.ask(READ).1).len()
+        };
+        (1..=100).map(one).sum::<usize>()
+    };
+    assert!(sent(20) >= 90, "{} of 100", sent(20));
+    assert!(sent(250) <= 3, "{} of 100: the writes alone fill it", sent(250));
+}
+
 #[test]
 fn unknown_members_count_where_members_check() {
     let mut host = Host::new(settings(), 3);
