Count a queued request's time from when its last byte came

Replayed with takes and answers logged, node n5:

The request was sent 1.8 s before its turn came, behind others on its connection, and then given its whole time again: its client had gone before the module thought its time half over.

Ruled out: that answers were late (the module gives up 10 ms before the deadline that it was told), and that the request was never read (it stood whole in the buffer while the one ahead was out).

At fault: `Door::asked` in crates/net/src/frontend.rs took `clock.now()` at the command's turn for the moment at which it came.

--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -1,6 +1,7 @@
 //! Stories of the pooler on real sockets, against scripted peers: one for each thing that went wrong or must not.
 
 mod peers;
+use linnetdeal_net::pg::write;
 use peers::*;
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -71,6 +72,31 @@
     }
 }
 
+#[test]
+fn what_waits_behind_another_command_has_its_time_from_when_it_came() {
+    let (open, server) = held("s-1");
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
+    let brief = |id: &str| menu(id).replace("d=8000", "d=300");
+    let (mut queued, mut beside) = (Client::connect(&pooler), Client::connect(&pooler));
+    let mut both = Vec::new();
+    for statement in [menu("1"), brief("2")] {
+        write::query(&mut both, &statement);
+    }
+    queued.0.put(&both);
+    while server.got().is_empty() {
+        std::thread::yield_now();
+    }
+    // Asked later and for as long: once its time is over, so is that of the queued one.
+    assert_eq!(beside.ask(&brief("3")).code.as_deref(), Some("53300"));
+    drop(open);
+    assert_eq!(queued.answer().value.as_deref(), Some(&b"s-1"[..]));
+    assert_eq!(queued.answer().code.as_deref(), Some("53300"), "its client waits no longer");
+    assert!(!server.got().iter().any(|statement| statement.contains("id=2,")), "it is not sent on");
+    // And what has just come has all of its time.
+    assert_eq!(queued.ask(&menu("4")).value.as_deref(), Some(&b"s-1"[..]));
+}
+
 #[test]
 fn a_top_up_walks_on_proof_that_it_never_ran_and_never_runs_twice() {
     // The one listed as primary is a replica by now; the true one takes the write and dies of the second.
--- a/crates/net/src/buffer.rs
+++ b/crates/net/src/buffer.rs
@@ -3,13 +3,17 @@
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::io::{self, IoSlice, Read};
 use std::net::TcpStream;
 use std::ops::Range;
+use std::time::Instant;
 
 const FIRST: usize = 2 * 1024;
 /// An idle buffer keeps no more than this.
 const KEPT: usize = 4 * 1024;
+/// So many arrivals are told apart; what comes beyond them counts as come with the last.
+const MOST_ARRIVALS: usize = 256;
 
 /// Bytes that were read and not yet used up.
 #[derive(Debug, Default)]
@@ -17,6 +21,10 @@
     bytes: Vec<u8>,
     from: usize,
     to: usize,
+    /// How many bytes of the stream have been used up.
+    used: usize,
+    /// Up to which byte of the stream each read came, and when.
+    arrivals: VecDeque<(usize, Instant)>,
 }
 
 impl ReadBuffer {
@@ -28,12 +36,27 @@
 
     /// Uses up so many bytes.
     pub fn consume(&mut self, count: usize) {
-        self.from = (self.from + count).min(self.to);
+        let count = count.min(self.to - self.from);
+        self.from += count;
+        self.use_up(count);
         if self.from == self.to {
             (self.from, self.to) = (0, 0);
         }
     }
 
+    fn use_up(&mut self, count: usize) {
+        self.used += count;
+        while self.arrivals.front().is_some_and(|(end, _)| *end <= self.used) {
+            self.arrivals.pop_front();
+        }
+    }
+
+    /// When the first `count` bytes had all been read; `None` while they have not.
+    #[must_use]
+    pub fn arrived(&self, count: usize) -> Option<Instant> {
+        self.arrivals.iter().find(|(end, _)| *end >= self.used + count).map(|(_, at)| *at)
+    }
+
     /// Reads once; the count is 0 at the end of the stream.
     ///
     /// # Errors
@@ -50,7 +73,16 @@
         }
         let mut stream = stream;
         let count = stream.read(&mut self.bytes[self.to..]).await?;
+        if count == 0 {
+            return Ok(0);
+        }
         self.to += count;
+        let end = self.used + self.to - self.from;
+        let full = self.arrivals.len() >= MOST_ARRIVALS;
+        match self.arrivals.back_mut().filter(|_| full) {
+            Some(last) => last.0 = end,
+            None => self.arrivals.push_back((end, Instant::now())),
+        }
         Ok(count)
     }
 
@@ -59,6 +91,7 @@
     pub fn detach(&mut self, count: usize) -> (Vec<u8>, Range<usize>) {
         let taken = self.from..(self.from + count).min(self.to);
         let rest = self.bytes[taken.end..self.to].to_vec();
+        self.use_up(taken.len());
         (self.from, self.to) = (0, rest.len());
         let mut bytes = std::mem::replace(&mut self.bytes, rest);
         // A large value may be held for seconds, beside hundreds of others: not in a buffer twice its size.
--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -354,7 +354,9 @@
                 let statement = pg::query_text(message.body)?;
                 match pg::request(statement) {
                     Ok(Asks::Request(comment)) => {
-                        let asked = self.door.asked(statement, &comment);
+                        // What waits behind others is not taken late: its client counts from when it sent it.
+                        let waited = self.buffer.arrived(size).map_or(Duration::ZERO, |at| at.elapsed());
+                        let asked = self.door.asked(statement, &comment, waited);
                         let open = OpenId::enter(self.door, comment.id);
                         if let (Some(asked), Some(open)) = (asked, open) {
                             let wait = comment.wait_at.clone();
@@ -472,10 +474,11 @@
 }
 
 impl Door {
-    /// The request that a statement makes; `None` if its class is unknown.
-    fn asked(&self, statement: &str, comment: &pg::Comment<'_>) -> Option<Asked<()>> {
+    /// The request that a statement makes that came so long ago; `None` if its class is unknown.
+    fn asked(&self, statement: &str, comment: &pg::Comment<'_>, waited: Duration) -> Option<Asked<()>> {
         let at = self.classes.iter().position(|(name, _)| name == comment.class)?;
-        let longest = Span(i64::try_from(self.longest_deadline.as_micros()).unwrap_or(i64::MAX));
+        let span = |time: Duration| Span(i64::try_from(time.as_micros()).unwrap_or(i64::MAX));
+        let longest = span(self.longest_deadline);
         let keyed = matches!(self.classes[at].1, Need::Write | Need::Session);
         let session = pg::key(statement).filter(|_| keyed).map(|key| {
             let mut hasher = DefaultHasher::new();
@@ -486,7 +489,8 @@
             class: ClassId(at),
             session,
             group: GroupId(comment.cluster),
-            deadline: self.driver.clock.now() + Span((comment.wait_ms * 1_000.0) as i64).min(longest),
+            deadline: self.driver.clock.now() - span(waited)
+                + Span((comment.wait_ms * 1_000.0) as i64).min(longest),
             last_write: comment.after_ms.map(|ms| Time((ms * 1_000.0) as i64)),
             query: (),
         })
