Date a replica's word from when it came, not from its request

Traced, node n4, member s-:

27.502 SEND r16 a0 (a write) 29.822 PROBED Ok report: primary, position 2.115 s old 30.723 OUTCOME r16 a0 Error note Replica took 3220824 31.117 SEND r76 a0 (a read) role 1 position 3.41 s old, need 3.0 s

The member hung as primary and answered the writes as a replica. That word was dated from the write's send (27.50), before the last report of it as primary (27.707), and so did not count: reads went on to it as to a primary.

Ruled out: a late dial (written 0.4 ms after the order), a position that ran ahead (it is the report's).

At fault: `Router::note` and the miss in `Router::judge` (crates/core/src/choice.rs), which dated a replica's word `now - took`. It now counts from when it came. A primary's word keeps its earlier date: that errs on the safe side.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -548,16 +548,14 @@
         let Some((note, m)) = note.zip(self.members.get_mut(id)) else { return };
         let at = now - took;
         let seen = note.position.filter(|p| *p <= now && (!write || note.role == Some(Role::Primary)));
-        if let Some(position) = seen {
-            m.position = m.position.max(position);
-            m.read_at = now;
-        }
+        (m.position, m.read_at) = seen.map_or((m.position, m.read_at), |at| (m.position.max(at), now));
         match note.role {
             Some(Role::Primary) => {
                 m.position = m.position.max(at);
                 self.show_primary(now, id, at.max(seen.unwrap_or(at)));
             }
-            Some(Role::Replica) => m.replica_at = m.replica_at.max(at),
+            // One that hung answers long after the send: what it said just now goes before an older report.
+            Some(Role::Replica) => m.replica_at = m.replica_at.max(now - Span(1)),
             None => {}
         }
     }
@@ -707,7 +705,7 @@
             Verdict::Miss => {
                 m.behind = out.and_then(|out| out.need).map(|need| (need, now)).or(m.behind);
                 if out.is_some_and(|out| self.settings.classes[out.class].need == Need::Write) {
-                    m.replica_at = m.replica_at.max(now - took);
+                    m.replica_at = m.replica_at.max(now - Span(1));
                 }
             }
             // An error speaks against the member only where a peer answers the same request: `outcome`.
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -706,3 +706,28 @@
         host.tell(Event::Wake);
     }
 }
+
+#[test]
+fn a_member_that_hung_as_primary_is_none_once_it_answers_as_replica() {
+    // Seen on the bench: two writes were out at a primary when it hung. A probe told of it as primary once more;
+    // then the writes came back from it as from a replica, and a read went there for data too old.
+    let mut host = with_primary(Settings { checks: Checks::None, ..settings() });
+    let (write, _) = host.ask(UNSAFE);
+    let sent = host.now;
+    host.now = host.now + Span::millis(300);
+    host.probed(1, true, 0);
+    host.now = host.now + Span::millis(400);
+    host.tell(Event::Outcome(Outcome {
+        request: write,
+        attempt: AttemptNo(0),
+        member: member(1),
+        verdict: Verdict::Error,
+        note: Some(Note { role: Some(Role::Replica), position: None }),
+        took: host.now - sent,
+        closed: false,
+        report: None,
+    }));
+    host.pass(800);
+    let (_, actions) = host.ask(READ);
+    assert!(sends(&actions).is_empty(), "its data is 1.2 s old where 1 s is allowed");
+}
