Let a session see the write whose answer nobody waited for

The client left 11 ms after its write was sent. What an answer tells counts as known although the connection was closed with it unread; the session's token was set only by an answer that was read.

At fault: `Router::outcome` in crates/core/src/choice.rs. Any outcome of a write but those that prove that it never ran now sets the session's token, without a commit's time to the moment of the outcome.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -485,9 +485,10 @@
         self.note(now, &member, note, took, write);
         self.report(now, &member, report.as_deref());
         self.judge(now, &member, verdict, took, out.as_ref());
-        let wrote = out.filter(|_| write && verdict == Verdict::Ok).and_then(|out| out.session);
-        if let Some(key) = wrote {
-            let at = note.and_then(|n| n.position).unwrap_or(now);
+        // A write that may have run is its session's: its answer may have come while nobody waited for it.
+        if let Some(key) = out.filter(|_| write && !verdict.never_ran()).and_then(|out| out.session) {
+            let commit = note.filter(|_| verdict == Verdict::Ok).and_then(|note| note.position);
+            let at = commit.unwrap_or(now);
             self.tokens.entry(key).and_modify(|token| *token = at.max(*token)).or_insert(at);
         }
         let Some(open) = self.open.get_mut(&id) else { return };
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -731,3 +731,29 @@
     let (_, actions) = host.ask(READ);
     assert!(sends(&actions).is_empty(), "its data is 1.2 s old where 1 s is allowed");
 }
+
+#[test]
+fn a_session_sees_its_write_whose_answer_nobody_waited_for() {
+    // Seen on the bench: a client left a few milliseconds after the commit, came back, and read from before it.
+    for verdict in [Verdict::Cancelled, Verdict::Timeout, Verdict::Reset] {
+        let mut host = with_primary(Settings { checks: Checks::None, ..settings() });
+        host.probed(2, false, 10);
+        host.probed(3, false, 10);
+        let (write, _) = host.ask_as(UNSAFE, Some(7));
+        host.now = host.now + Span::millis(5);
+        host.tell(Event::Gone(write));
+        host.end(write, 0, 1, verdict);
+        host.now = host.now + Span::millis(20);
+        for _ in 0..8 {
+            let (_, actions) = host.ask_as(OWN, Some(7));
+            let to = sends(&actions);
+            assert!(to.iter().all(|to| *to == member(1)), "{verdict:?}: {to:?} may not have it yet");
+        }
+        let (_, actions) = host.ask_as(OWN, Some(8));
+        assert_eq!(sends(&actions).len(), 1, "another session has written nothing");
+        // A replica that is shown to be past it will do.
+        host.probed(2, false, 0);
+        let (_, actions) = host.ask_as(OWN, Some(7));
+        assert_eq!(sends(&actions), [member(2)], "{verdict:?}");
+    }
+}
