Ask for a broken watch at once, and within 6 s after any failure

At fault: `Pauses` in crates/net/src/discovery.rs. It was made for a service that a whole fleet swamps. Where lists are pushed an agent on the pooler's own machine answers, and what it has binds watch or no watch. Now a broken watch is asked for again after 50 to 200 ms; a refused one, and any where lists must be asked for, in a window of 50 ms for each pooler but 3 s at most, so that a call that waited 2 s to be refused is followed by the next within 6 s of what it missed. Silence is given up after 2.5 s, not 3.2 s, which leaves time for one more silent call.

--- a/crates/net/src/config.rs
+++ b/crates/net/src/config.rs
@@ -73,6 +73,8 @@
     pub longest_deadline: Duration,
     /// What load reports hold, by name.
     pub report: Vec<(String, Field)>,
+    /// Discovery is one service for the whole fleet that has to be asked, not an agent of the pooler's own.
+    pub shared_discovery: bool,
 }
 
 #[derive(Deserialize)]
@@ -163,6 +165,7 @@
             keepalive: time("Limits.Keepalive", 30_000.0)?,
             longest_deadline,
             report: names.map(|name| (name.to_owned(), Field::named(name))).collect(),
+            shared_discovery: pairs.text("Discovery")? == "ask",
         })
     }
 }
--- a/crates/net/src/discovery.rs
+++ b/crates/net/src/discovery.rs
@@ -14,18 +14,19 @@
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Empty lines come every 2 s. A watch that misses one is given up and opened anew, since what it would have
-/// told binds 6 s later, arrived or not.
-const SILENCE: Duration = Duration::from_millis(3_200);
-/// A watch that lived so long is asked for again without regard to earlier failures.
-const LIVED: Duration = Duration::from_millis(1_000);
-/// The least pause before a watch is asked for again, the window for the first try by the size of the fleet, and the
-/// longest, as a multiple of the first.
+/// told binds 6 s later, arrived or not: there is time for one further call that is met with silence.
+const SILENCE: Duration = Duration::from_millis(2_500);
+/// The least pause before a watch is asked for again, and the window in which a broken one is: what an agent has
+/// counts as told within the grace of a drain, watch or no watch.
 const LEAST_PAUSE: Duration = Duration::from_millis(50);
+const BROKEN: Duration = Duration::from_millis(150);
+/// The window where discovery is one service for the whole fleet, or has refused a call: so much for each pooler, but
+/// no more than leaves time, after a call that waited two seconds to be refused, for the next within 6 s.
 const EACH: Duration = Duration::from_millis(50);
-const MOST_WINDOWS: u32 = 4;
+const LONGEST_WINDOW: Duration = Duration::from_millis(3_000);
 /// A line longer than this is no list.
 const LONGEST_LINE: usize = 8 * 1024 * 1024;
 
@@ -51,34 +52,30 @@
     }
 }
 
-/// The pauses between the tries to open a watch. All poolers lose theirs at once when discovery breaks them, and it
-/// serves only so many calls a second: a fleet that comes back together swamps it, and goes on doing so, as calls that
-/// have waited too long are failed. So each pooler picks a moment in a window as long as the fleet is large, and in a
-/// longer one each time that it fails.
+/// The pauses between the tries to open a watch. What an agent of the pooler's own machine has counts as told, so a
+/// broken watch is opened again at once. One service for a whole fleet serves only so many calls a second, and goes on
+/// being swamped where all come back together, as calls that have waited too long are refused: there, and after any
+/// refusal, each pooler picks a moment in a window by the size of the fleet.
 #[derive(Debug)]
 pub struct Pauses {
     rng: ChaCha8Rng,
-    first: Duration,
-    window: Duration,
+    spread: Duration,
+    broken: Duration,
 }
 
 impl Pauses {
-    /// Those of one pooler of so many. The seed must differ from pooler to pooler.
+    /// Those of one pooler of so many, who share one service or have an agent each. The seed must differ from
+    /// pooler to pooler.
     #[must_use]
-    pub fn new(seed: u64, fleet: u32) -> Self {
-        let first = EACH * fleet;
-        Self { rng: ChaCha8Rng::seed_from_u64(seed), first, window: first }
+    pub fn new(seed: u64, fleet: u32, shared: bool) -> Self {
+        let spread = (EACH * fleet).min(LONGEST_WINDOW);
+        Self { rng: ChaCha8Rng::seed_from_u64(seed), spread, broken: if shared { spread } else { BROKEN } }
     }
 
-    /// The pause before the next try; `lived` tells whether there was a watch since the last one.
-    pub fn next_pause(&mut self, lived: bool) -> Duration {
-        if lived {
-            self.window = self.first;
-        }
+    /// The pause before the next try, after a call that was refused or a watch that broke.
+    pub fn next_pause(&mut self, refused: bool) -> Duration {
         let part = f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
-        let pause = LEAST_PAUSE + self.window.mul_f64(part);
-        self.window = (self.window * 2).min(self.first * MOST_WINDOWS);
-        pause
+        LEAST_PAUSE + if refused { self.spread } else { self.broken }.mul_f64(part)
     }
 }
 
@@ -122,7 +119,6 @@
 pub async fn run(node: Follower, mut generation: u64, mut pauses: Pauses) {
     let mut told = false;
     loop {
-        let (before, opened) = (generation, Instant::now());
         let (moved, followed) = (node.source.moved.listen(), node.source.address.get());
         let Some(address) = followed else {
             moved.await;
@@ -134,8 +130,9 @@
             moved.await;
             Ok(())
         };
-        let mut open = false;
-        match or(watch(&node, address, &mut generation, &mut open), left).await {
+        let ended = or(watch(&node, address, &mut generation), left).await;
+        let refused = matches!(ended, Err(WatchError::Http(HttpError::Status(_))));
+        match ended {
             // A dropped watch is nothing to report; an answer that makes no sense is, once.
             Err(WatchError::Io(_)) | Ok(()) => {}
             Err(error) if !told => {
@@ -147,9 +144,7 @@
         if node.source.address.get() != followed {
             continue;
         }
-        // One that fails straight away, or is refused after a wait, is no watch.
-        let lived = generation != before || (open && opened.elapsed() > LIVED);
-        let pause = pauses.next_pause(lived);
+        let pause = pauses.next_pause(refused);
         let moved = node.source.moved.listen();
         if node.source.address.get() == followed {
             or(moved, async {
@@ -169,13 +164,8 @@
     or(work, silence).await
 }
 
-/// One watch, until its connection ends or falls silent; `open` tells whether discovery granted it.
-async fn watch(
-    node: &Follower,
-    address: SocketAddr,
-    generation: &mut u64,
-    open: &mut bool,
-) -> Result<(), WatchError> {
+/// One watch, until its connection ends or falls silent.
+async fn watch(node: &Follower, address: SocketAddr, generation: &mut u64) -> Result<(), WatchError> {
     let stream = bounded(Async::<TcpStream>::connect(address)).await?;
     let ask = format!(
         "GET /discovery/hosts?follow=1&since={generation} HTTP/1.1\r\nHost: {address}\r\n\
@@ -192,7 +182,6 @@
         }
     };
     buffer.consume(head.size);
-    *open = true;
     let mut line: Vec<u8> = Vec::new();
     loop {
         while !buffer.data().is_empty() {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -74,7 +74,7 @@
         let executor = Rc::new(LocalExecutor::new());
         let (probes, wanted) = async_channel::unbounded();
         let classes = config.settings.classes.iter().map(|class| (class.name.clone(), class.need)).collect();
-        let pauses = Pauses::new(config.seed, config.settings.fleet);
+        let pauses = Pauses::new(config.seed, config.settings.fleet, config.host.shared_discovery);
         let router = Router::new(config.seed, config.settings);
         let driver = Rc::new(Driver::new(router, counters.clone(), probes));
         let longest_deadline = config.host.longest_deadline;
