Read lists by their braces, for they may come indented

Seen on loopback: a list over several lines ends the watch ("a line that is no list"), and the next call asks with the old version, for ever.

At fault: `take_lines` in crates/net/src/discovery.rs, which took each line for a whole object. The stream is now cut by its braces, each byte looked at once. An empty line inside an object ends the watch: it is the sign of life that comes between two lists, so the object was torn, and must not swallow what follows.

--- a/crates/daemon/tests/peers/mod.rs
+++ b/crates/daemon/tests/peers/mod.rs
@@ -213,6 +213,15 @@
 
 impl Discovery {
     pub fn new() -> Self {
+        Self::written(|list| list.to_string())
+    }
+
+    /// One whose lists stand on several lines each, with an empty one behind, as between two changes.
+    pub fn indented() -> Self {
+        Self::written(|list| format!("{list:#}\n"))
+    }
+
+    fn written(text: fn(&Value) -> String) -> Self {
         let (announce, watches) = channel();
         let address = serve(move |stream| {
             let mut lines = BufReader::new(stream.try_clone().unwrap()).lines();
@@ -224,7 +233,7 @@
                 let mut stream = stream;
                 stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
                 while let Ok(Some(list)) = receiver.recv() {
-                    let line = format!("{list}\n");
+                    let line = text(&list) + "\n";
                     // In two chunks, cut inside the line.
                     for part in [&line[..7], &line[7..]] {
                         let _ = stream.write_all(format!("{:x}\r\n{part}\r\n", part.len()).as_bytes());
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -379,6 +379,21 @@
     assert!(found, "connections to its old address are not used any more");
 }
 
+#[test]
+fn a_list_may_come_indented() {
+    let server = plain("s-9", "replica");
+    let discovery = Discovery::indented();
+    let pooler = Pooler::new(&discovery, Vec::new());
+    let (_, watch) = discovery.watch();
+    watch.send(Some(list(57, true, vec![server.entry("up", "replica")]))).unwrap();
+    watch.send(Some(list(58, false, Vec::new()))).unwrap();
+    watch.send(None).unwrap();
+    let (next, _silent) = discovery.watch();
+    assert!(next.contains("since=58"), "{next}");
+    let mut client = Client::connect(&pooler);
+    assert_eq!(client.ask(&menu("1")).value.as_deref(), Some(&b"s-9"[..]));
+}
+
 #[test]
 fn a_new_configuration_moves_the_watch_and_an_unusable_one_changes_nothing() {
     let (open, busy_server) = held("s-1");
--- a/crates/net/src/discovery.rs
+++ b/crates/net/src/discovery.rs
@@ -27,8 +27,8 @@
 /// no more than leaves time, after a call that waited two seconds to be refused, for the next within 6 s.
 const EACH: Duration = Duration::from_millis(50);
 const LONGEST_WINDOW: Duration = Duration::from_millis(3_000);
-/// A line longer than this is no list.
-const LONGEST_LINE: usize = 8 * 1024 * 1024;
+/// An object longer than this is no list.
+const LONGEST_LIST: usize = 8 * 1024 * 1024;
 
 /// Where discovery is followed; it may move while the pooler runs.
 #[derive(Debug)]
@@ -85,10 +85,10 @@
     Io(#[from] io::Error),
     #[error("{0}")]
     Http(#[from] HttpError),
-    #[error("a line that is no list: {0}")]
+    #[error("an object that is no list: {0}")]
     Json(#[from] serde_json::Error),
-    #[error("a line without an end")]
-    Line,
+    #[error("{0}")]
+    Objects(#[from] ObjectsError),
 }
 
 /// What follows the platform's list.
@@ -182,7 +182,7 @@
         }
     };
     buffer.consume(head.size);
-    let mut line: Vec<u8> = Vec::new();
+    let mut objects = Objects::default();
     loop {
         while !buffer.data().is_empty() {
             let (body, size) = if head.chunked {
@@ -194,9 +194,13 @@
             } else {
                 (buffer.data(), buffer.data().len())
             };
-            line.extend_from_slice(body);
+            objects.push(body);
             buffer.consume(size);
-            take_lines(node, &mut line, generation)?;
+            while let Some(object) = objects.take()? {
+                let list: ServerList = serde_json::from_slice(&object)?;
+                *generation = list.generation;
+                node.take(&list, false);
+            }
         }
         buffer.rest();
         if bounded(buffer.fill(&stream)).await? == 0 {
@@ -205,16 +209,73 @@
     }
 }
 
-/// Takes all whole lines out of `text`; an empty one only tells that the watch lives.
-fn take_lines(node: &Follower, text: &mut Vec<u8>, generation: &mut u64) -> Result<(), WatchError> {
-    while let Some(end) = text.iter().position(|byte| *byte == b'\n') {
-        let line = text[..end].trim_ascii();
-        if !line.is_empty() {
-            let list: ServerList = serde_json::from_slice(line)?;
-            *generation = list.generation;
-            node.take(&list, false);
+/// Why a stream is no stream of objects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ObjectsError {
+    /// Something that is neither an object nor white space.
+    #[error("byte {0} between two lists")]
+    Between(u8),
+    /// An empty line in an object: what it belongs to came after a torn one.
+    #[error("an empty line inside a list")]
+    Torn,
+    /// An object without an end.
+    #[error("a list without an end")]
+    Endless,
+}
+
+/// The JSON objects of a stream, however they are broken into lines. Each byte is looked at once.
+#[derive(Debug, Default)]
+pub struct Objects {
+    text: Vec<u8>,
+    seen: usize,
+    depth: usize,
+    quoted: bool,
+    escaped: bool,
+    /// Nothing but white space came since the last end of a line.
+    empty_line: bool,
+}
+
+impl Objects {
+    /// Takes in what came next.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.text.extend_from_slice(bytes);
+    }
+
+    /// The next whole object, if there is one; empty lines between two only tell that the watch lives.
+    ///
+    /// # Errors
+    ///
+    /// When what came is no stream of objects.
+    pub fn take(&mut self) -> Result<Option<Vec<u8>>, ObjectsError> {
+        while let Some(&byte) = self.text.get(self.seen) {
+            self.seen += 1;
+            match byte {
+                b'\n' if self.depth > 0 && self.empty_line => return Err(ObjectsError::Torn),
+                b'\n' => self.empty_line = true,
+                byte => self.empty_line &= byte.is_ascii_whitespace(),
+            }
+            match byte {
+                _ if self.escaped => self.escaped = false,
+                b'\\' if self.quoted => self.escaped = true,
+                b'"' if self.depth > 0 => self.quoted = !self.quoted,
+                _ if self.quoted => {}
+                b'{' => self.depth += 1,
+                b'}' if self.depth > 0 => {
+                    self.depth -= 1;
+                    if self.depth == 0 {
+                        let rest = self.text.split_off(self.seen);
+                        self.seen = 0;
+                        return Ok(Some(std::mem::replace(&mut self.text, rest)));
+                    }
+                }
+                _ if self.depth > 0 || byte.is_ascii_whitespace() => {}
+                _ => return Err(ObjectsError::Between(byte)),
+            }
+        }
+        if self.depth == 0 {
+            self.text.clear();
+            self.seen = 0;
         }
-        text.drain(..=end);
+        if self.text.len() > LONGEST_LIST { Err(ObjectsError::Endless) } else { Ok(None) }
     }
-    if text.len() > LONGEST_LINE { Err(WatchError::Line) } else { Ok(()) }
 }
--- a/crates/net/tests/discovery.rs
+++ b/crates/net/tests/discovery.rs
@@ -1,6 +1,6 @@
-//! When a pooler asks for its watch again.
+//! When a pooler asks for its watch again, and how it reads what comes on one.
 
-use linnetdeal_net::discovery::Pauses;
+use linnetdeal_net::discovery::{Objects, ObjectsError, Pauses};
 use std::time::Duration;
 
 /// How long discovery lets a call wait before it refuses it.
@@ -52,3 +52,36 @@
         assert!(REFUSED_AFTER + longest <= Duration::from_millis(5_100), "{fleet} {shared}: {longest:?}");
     }
 }
+
+/// All objects of a stream that comes in pieces of this size.
+fn objects(stream: &[u8], size: usize) -> Result<Vec<String>, ObjectsError> {
+    let (mut objects, mut found) = (Objects::default(), Vec::new());
+    for piece in stream.chunks(size) {
+        objects.push(piece);
+        while let Some(object) = objects.take()? {
+            found.push(String::from_utf8(object).unwrap().trim().to_owned());
+        }
+    }
+    Ok(found)
+}
+
+#[test]
+fn lists_are_read_on_one_line_or_indented_and_cut_anywhere() {
+    let plain = r#"{"generation":1,"instances":[{"instanceId":"a}\"{"}]}"#;
+    let indented =
+        "{\n  \"generation\": 2,\n  \"instances\": [\n    {\n      \"zone\": \"\\\\\"\n    }\n  ]\n}";
+    let stream = format!("\n{plain}\n\r\n{indented}\n\n{plain}{plain}\n");
+    for size in [1, 2, 3, 7, 1_000] {
+        assert_eq!(objects(stream.as_bytes(), size).unwrap(), [plain, indented, plain, plain], "{size}");
+    }
+}
+
+#[test]
+fn what_is_no_stream_of_lists_is_told_before_much_of_it_is_held() {
+    assert_eq!(objects(b"\n\nnoise", 2), Err(ObjectsError::Between(b'n')));
+    assert_eq!(objects(b"}", 1), Err(ObjectsError::Between(b'}')));
+    // A torn list swallows no later one: the empty line that tells of life comes inside it.
+    assert_eq!(objects(b"{\"generation\":1,\n\n{\"generation\":2}\n\n", 5), Err(ObjectsError::Torn));
+    let endless = [&b"{\"instances\":\""[..], &vec![b'x'; 9 * 1024 * 1024]].concat();
+    assert_eq!(objects(&endless, 64 * 1024), Err(ObjectsError::Endless));
+}
