Tell a data server what is left of the wait when it is written to

Found by review of attempts whose connection comes up late: the digits of `d` were made from the wait at the order, before a connection was waited for, asked whether it lives, or dialled. On loopback, with a server that welcomes nobody for 300 ms: d=8000 of a client with 7,700 ms left.

At fault: `Pool::attempt` in crates/net/src/upstream.rs. The statement is now worded in `Query::write`, when the connection is there, with the milliseconds that are left, rounded down.

--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -97,6 +97,32 @@
     assert_eq!(queued.ask(&menu("4")).value.as_deref(), Some(&b"s-1"[..]));
 }
 
+#[test]
+fn an_attempt_tells_its_server_no_more_than_the_client_has_left() {
+    // The server welcomes nobody at first: the connection comes up late.
+    let (open, opened) = channel::<()>();
+    let opened = Mutex::new(opened);
+    let door = move || drop(opened.lock().unwrap().recv());
+    let server = Server::with_door("s-1", door, |wire, _| {
+        wire.row(b"s-1", "replica", NOW_MS);
+        true
+    });
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
+    let (mut client, mut beside) = (Client::connect(&pooler), Client::connect(&pooler));
+    client.send(&menu("1"));
+    while !pooler.counters().contains(" dials=1 ") {}
+    // Asked later, and over: at least 300 ms have gone by.
+    assert!(beside.ask(&menu("2").replace("d=8000", "d=300")).code.is_some());
+    drop(open);
+    assert_eq!(client.answer().value.as_deref(), Some(&b"s-1"[..]));
+    let told = server.got().iter().find_map(|statement| {
+        let (_, rest) = statement.split_once("id=1,")?;
+        rest.split_once(",d=")?.1.split_once(',')?.0.parse::<u64>().ok()
+    });
+    assert!(told.is_some_and(|told| told <= 7_700), "{told:?} of 8,000 ms, 300 of them gone");
+}
+
 #[test]
 fn a_top_up_walks_on_proof_that_it_never_ran_and_never_runs_twice() {
     // The one listed as primary is a replica by now; the true one takes the write and dies of the second.
--- a/crates/net/src/upstream.rs
+++ b/crates/net/src/upstream.rs
@@ -196,6 +196,30 @@
     Errno::from_io_error(error).is_some_and(|errno| own.contains(&errno))
 }
 
+/// What a member is asked.
+#[derive(Clone, Copy)]
+enum Query<'q> {
+    /// For its load report.
+    Report,
+    /// A client's statement.
+    Statement(&'q Statement),
+}
+
+impl Query<'_> {
+    /// Writes it, so that it tells what is left of the wait when it is written.
+    async fn write(self, stream: &Async<TcpStream>, left: Duration) -> io::Result<()> {
+        let Self::Statement(Statement { bytes, whole, wait }) = self else {
+            let mut query = Vec::with_capacity(32);
+            pg::write::query(&mut query, "SHOW gauges");
+            return write_all(stream, &[&query]).await;
+        };
+        let digits = left.as_millis().max(1).to_string();
+        let (before, after) = (&bytes[whole.start..wait.start], &bytes[wait.end..whole.end]);
+        let head = pg::write::query_head(before.len() + digits.len() + after.len());
+        write_all(stream, &[&head, before, digits.as_bytes(), after]).await
+    }
+}
+
 /// What was read up to ReadyForQuery, or until the server ended the connection.
 struct Exchange {
     verdict: Verdict,
@@ -355,11 +379,12 @@
         }
     }
 
-    /// Sends one simple query and reads up to ReadyForQuery.
+    /// Sends one query, whose answer is waited for until then, and reads up to ReadyForQuery.
     async fn exchange(
         &self,
         member: &MemberId,
-        query: &[&[u8]],
+        query: Query<'_>,
+        until: Instant,
         stage: &Cell<Stage>,
     ) -> Result<(Connection, Exchange), Lost> {
         let mut connection = self.connection(member, stage).await?;
@@ -368,7 +393,7 @@
             return Err(Lost::Withdrawn);
         }
         stage.set(Stage::Writing);
-        write_all(&connection.stream, query).await?;
+        query.write(&connection.stream, until.saturating_duration_since(Instant::now())).await?;
         stage.set(Stage::Sent);
         let exchange = read_answer(&connection.stream, &mut connection.buffer).await?;
         Ok((connection, exchange))
@@ -379,12 +404,12 @@
         &self,
         wait: Duration,
         member: &MemberId,
-        query: &[&[u8]],
+        query: Query<'_>,
     ) -> Result<(Connection, Exchange), Verdict> {
-        let stage = Cell::new(Stage::Waiting);
-        let answer = async { Some(self.exchange(member, query, &stage).await) };
+        let (stage, until) = (Cell::new(Stage::Waiting), Instant::now() + wait);
+        let answer = async { Some(self.exchange(member, query, until, &stage).await) };
         let limit = async {
-            Timer::after(wait).await;
+            Timer::at(until).await;
             None
         };
         match (or(answer, limit).await, stage.get()) {
@@ -404,9 +429,7 @@
 
     /// Asks a member for its load report.
     pub async fn probe(&self, member: &MemberId) -> (Verdict, Option<Vec<f64>>) {
-        let mut query = Vec::with_capacity(32);
-        pg::write::query(&mut query, "SHOW gauges");
-        match self.within(PROBE_WAIT, member, &[&query]).await {
+        match self.within(PROBE_WAIT, member, Query::Report).await {
             Err(verdict) => (verdict, None),
             Ok((mut connection, exchange)) => {
                 let value = exchange.value.and_then(|at| connection.buffer.data().get(at));
@@ -427,11 +450,7 @@
     type Reply = Reply;
 
     async fn attempt(&self, member: &MemberId, query: &Statement, wait: Duration) -> Ended<Reply> {
-        let digits = wait.as_micros().div_ceil(1_000).max(1).to_string();
-        let before = &query.bytes[query.whole.start..query.wait.start];
-        let after = &query.bytes[query.wait.end..query.whole.end];
-        let head = pg::write::query_head(before.len() + digits.len() + after.len());
-        match self.within(wait, member, &[&head, before, digits.as_bytes(), after]).await {
+        match self.within(wait, member, Query::Statement(query)).await {
             Err(verdict) => Ended::without_answer(verdict),
             Ok((mut connection, exchange)) => {
                 let Exchange { verdict, notes, pieces, size, ready, .. } = exchange;
