Send small answers at once: TCP_NODELAY on clients' connections

Found by review of closes over writes that the system holds back. Connections to servers had the option, those of clients had not: a second small answer waits until the first is acknowledged, up to 40 ms, and is lost with a connection that is reset meanwhile. On loopback, 100 pairs of commands sent in one go each: the connection is shut at 2 s, as that of a client that asks nothing, before they are through; with the option they take 5 ms.

At fault: `admit` in crates/net/src/frontend.rs.

--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -72,6 +72,26 @@
     }
 }
 
+#[test]
+fn small_answers_do_not_wait_for_each_other() {
+    let server = plain("s-1", "replica");
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
+    let mut client = Client::connect(&pooler);
+    let mut both = Vec::new();
+    for _ in 0..2 {
+        write::query(&mut both, "SET x = 1");
+    }
+    // Who makes no request is shut out after 2 s. Each second answer held back until the first is acknowledged
+    // takes 40 ms, and the pairs twice that.
+    for _ in 0..100 {
+        client.0.put(&both);
+        for _ in 0..2 {
+            assert_eq!(client.answer().tags, "CZ");
+        }
+    }
+}
+
 #[test]
 fn what_waits_behind_another_command_has_its_time_from_when_it_came() {
     let (open, server) = held("s-1");
--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -113,6 +113,9 @@
 
 fn admit(door: &Rc<Door>, stream: Async<TcpStream>, room: bool) {
     door.counters.clients.add();
+    // An answer held back until the one before is acknowledged would be lost with a connection that breaks. One that
+    // can't be set so has ended already, as its first read tells.
+    let _ = stream.get_ref().set_nodelay(true);
     let owner = door.clone();
     let task = async move {
         let seat = owner.seats.take();
