Shut a client's connection in order: end the sending, drain, close

Found by review of closes over unread bytes: where a connection was closed between two commands (making room, a planned restart, too slow a command), it was just dropped. A command that crossed the close made it a reset, which takes the last answer with it if the client has not read it. On loopback, a client shut out by SIGTERM that then sends: connection reset.

At fault: the end of `Client::run` in crates/net/src/frontend.rs. Who has had an answer now gets the end of the stream first; what still comes is read and served no more, until it has closed or for 1 s. Such a connection holds its seat meanwhile, as the first to be asked to go (`Seat::yielding` counted a client that was asked before as gone although it was still there). Who has asked nothing yet is closed as before: with them the crowd of `a_silent_crowd_pushes_out_nobody_and_is_closed` pushed out a client that was idle.

--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -563,6 +563,23 @@
     assert!(closed, "the one idle longest");
 }
 
+#[test]
+fn what_crosses_the_end_of_a_connection_resets_nothing_and_is_not_sent_on() {
+    let server = plain("s-1", "replica");
+    let discovery = Discovery::new();
+    let mut pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
+    let mut client = Client::connect(&pooler);
+    assert_eq!(client.ask(&menu("1")).value.as_deref(), Some(&b"s-1"[..]));
+    pooler.signal("TERM");
+    assert!(client.0.message().is_none(), "shut out while it is idle");
+    // Its next request was on the way by then.
+    client.send(&menu("2"));
+    client.0.stream.shutdown(std::net::Shutdown::Write).unwrap();
+    assert!(pooler.child.wait().unwrap().success());
+    assert!(client.0.message().is_none() && !client.0.reset, "an end, not a reset");
+    assert_eq!(server.got().len(), 1, "and nothing that came after it is sent on");
+}
+
 #[test]
 fn a_planned_restart_answers_what_was_taken_and_ends_well() {
     // Connections keep arriving for up to 0.4 s. A machine that stalls that long between two lines here tells
--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -31,8 +31,10 @@
 /// and who sends nothing whole is owed a close within 3 s of connecting, part of which it may wait in the backlog.
 const COMMAND_WAIT: Duration = Duration::from_secs(2);
 const WRITE_WAIT: Duration = Duration::from_secs(30);
-/// How long a client that was told why its connection ends may go on writing: enough for 60 MB.
+/// How long a client that was told why its connection ends may go on writing: enough for 60 MB; and how long one
+/// that was shut out between two commands has to close its side.
 const PARTING: Duration = Duration::from_secs(3);
+const CLOSING: Duration = Duration::from_secs(1);
 /// Who sends what can't be served rests for so long after each error, and is told to go after so many: the
 /// same thing, sent again as soon as it was turned away, would keep others waiting.
 const REST: Duration = Duration::from_millis(50);
@@ -128,6 +130,7 @@
             stage: Stage::Startup,
             since: Instant::now(),
             errors: 0,
+            closed: false,
         };
         // What went wrong on one client's connection concerns nobody else: it is closed.
         let _ = client.run(room).await;
@@ -167,6 +170,8 @@
     since: Instant,
     /// Its commands that were no use.
     errors: u32,
+    /// Nothing more is sent to it.
+    closed: bool,
 }
 
 /// What a command comes down to.
@@ -192,6 +197,8 @@
                 self.door.counters.rejected.add();
                 self.part("08P01", &error.to_string(), None).await
             }
+            // Who has asked nothing yet has no answer to lose.
+            Ok(()) if self.stage == Stage::Known => self.close(CLOSING).await,
             other => other,
         }
     }
@@ -202,6 +209,16 @@
         let mut out = Vec::new();
         write::error(&mut out, Severity::Fatal, code, words, detail);
         self.send(&[&out]).await?;
+        self.close(PARTING).await
+    }
+
+    /// Ends the sending, and reads what still comes until the client has closed, or for so long. A close over unread
+    /// bytes would reset the connection, and take the last answer with it. What comes now is served no more.
+    async fn close(&mut self, longest: Duration) -> Result<(), ClientError> {
+        if self.closed {
+            return Ok(());
+        }
+        self.closed = true;
         self.stream.get_ref().shutdown(Shutdown::Write)?;
         self.buffer = ReadBuffer::default();
         let rest = async {
@@ -211,9 +228,9 @@
             }
         };
         let enough = async {
-            Timer::after(PARTING).await;
+            Timer::after(longest).await;
         };
-        let work = or(rest, or(enough, self.door.life.ending.raised()));
+        let work = or(rest, or(enough, self.door.life.ended.raised()));
         self.seat.yielding(Rank::Parting, Instant::now(), work).await;
         Ok(())
     }
--- a/crates/net/src/seats.rs
+++ b/crates/net/src/seats.rs
@@ -155,6 +155,8 @@
     /// Does `work` in a state in which the client can be asked to make room; `None` if it was, and `work` had
     /// not ended by then. What has ended goes before: a client whose request can be read stays.
     pub async fn yielding<T>(&self, rank: Rank, since: Instant, work: impl Future<Output = T>) -> Option<T> {
+        // One that was asked to go and is still here, to close in order, holds its descriptor until it is asked again.
+        self.stay();
         let (flag, at) = (Rc::new(Flag::default()), (rank, since, self.number));
         self.seats.waiting.borrow_mut().insert(at, flag.clone());
         if rank == Rank::Silent {
@@ -167,12 +169,18 @@
         });
         let done = done.await;
         drop(wait);
-        if done.is_some() && self.asked.replace(false) {
-            // It stays after all.
-            self.seats.taken.set(self.seats.taken.get() + 1);
+        if done.is_some() {
+            self.stay();
         }
         done
     }
+
+    /// Counts as taken after all, if its client was asked to go.
+    fn stay(&self) {
+        if self.asked.replace(false) {
+            self.seats.taken.set(self.seats.taken.get() + 1);
+        }
+    }
 }
 
 impl Drop for Seat<'_> {
