Heed a CancelRequest: what the client asks is ended at once

Found by review: every session was told the same key (the process's number and the secret 0), and a CancelRequest was read and dropped, so the request went on to its end. On loopback: a request at a server that holds it, cancelled, gets no answer.

At fault: `Client::begin` in crates/net/src/frontend.rs. Each session now has its own number and a secret that can't be guessed; a CancelRequest with both ends the request that is being served as the client's leaving would (no further attempt, the one that is out is given up with its connection) and answers it with 57014. What stands behind it on the connection is served. A write that may have run is listed among those in doubt.

--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -680,6 +680,44 @@
     assert_eq!(client.ask(&menu("1")).value.as_deref(), Some(&b"s-1"[..]));
 }
 
+#[test]
+fn a_client_can_cancel_what_it_asks_and_nobody_else_can() {
+    let (open, held) = held("s-1");
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![held.entry("up", "replica")]);
+    let mut client = Client::dial(&pooler, b"");
+    let mut key = Vec::new();
+    while let Some((tag, body)) = client.0.message() {
+        match tag {
+            b'K' => key = body,
+            b'Z' => break,
+            _ => {}
+        }
+    }
+    let cancel = |key: &[u8]| {
+        let mut stream = TcpStream::connect(pooler.address).unwrap();
+        stream.write_all(&[b"\0\0\0\x10\x04\xd2\x16\x2e", key].concat()).unwrap();
+        assert!(matches!(stream.read(&mut [0]), Ok(0) | Err(_)), "it gets no answer");
+    };
+    cancel(&key);
+    client.send(&menu("1"));
+    client.send("SET x = 1");
+    while held.got().is_empty() {
+        std::thread::yield_now();
+    }
+    // With the right number and the wrong secret, nothing happens.
+    let guess: Vec<u8> = key[..4].iter().chain(&[0; 4]).copied().collect();
+    cancel(&guess);
+    assert!(pooler.counters().contains(" cancelled=0 "));
+    cancel(&key);
+    let answer = client.answer();
+    assert_eq!((answer.tags.as_str(), answer.code.as_deref()), ("EZ", Some("57014")));
+    assert_eq!(client.answer().tags, "CZ", "what came behind it is answered");
+    drop(open);
+    assert_eq!(client.ask(&menu("2")).value.as_deref(), Some(&b"s-1"[..]));
+    assert!(pooler.counters().contains(" cancelled=1 "));
+}
+
 #[test]
 fn the_id_of_an_open_request_is_nobody_elses() {
     let (open, server) = held("s-1");
--- a/crates/net/src/counters.rs
+++ b/crates/net/src/counters.rs
@@ -37,6 +37,8 @@
     pub failed: Count,
     /// Requests whose client left first.
     pub gone: Count,
+    /// Requests cancelled by their clients.
+    pub cancelled: Count,
     /// Connections opened to servers.
     pub dials: Count,
     /// Connections closed for what came behind an answer.
@@ -112,6 +114,7 @@
             ("refused", &self.refused),
             ("failed", &self.failed),
             ("gone", &self.gone),
+            ("cancelled", &self.cancelled),
             ("dials", &self.dials),
             ("unsettled", &self.unsettled),
             ("short", &self.short),
--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -2,7 +2,7 @@
 
 use super::buffer::{ReadBuffer, discard, write_all};
 use super::pg::write::{self, Severity};
-use super::pg::{self, Asks, PgError, Startup};
+use super::pg::{self, Asks, PgError, SessionId, Startup};
 use super::request::{Asked, Cut, Final, serve};
 use super::seats::{Rank, Seat, Seats};
 use super::upstream::{Pool, Reply, Statement};
@@ -12,11 +12,12 @@
 use crate::life::Life;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
+use event_listener::Event as Bell;
 use futures_lite::future::{or, yield_now};
 use linnetdeal_core::*;
 use std::cell::RefCell;
-use std::collections::HashSet;
-use std::hash::{DefaultHasher, Hash, Hasher};
+use std::collections::{HashMap, HashSet};
+use std::hash::{BuildHasher, DefaultHasher, Hash, Hasher, RandomState};
 use std::io;
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -77,6 +78,53 @@
     pub(crate) open_ids: RefCell<HashSet<Box<str>>>,
     /// Where bytes are read to that nobody wants.
     pub(crate) scratch: RefCell<Vec<u8>>,
+    /// Who can be asked to cancel.
+    pub(crate) sessions: Sessions,
+}
+
+/// The sessions that are open, by their keys.
+#[derive(Debug, Default)]
+pub(crate) struct Sessions {
+    /// Makes secrets that nobody can guess.
+    secrets: RandomState,
+    open: RefCell<HashMap<SessionId, Rc<Bell>>>,
+}
+
+impl Sessions {
+    /// Opens the session of this number; it is told of by the bell.
+    fn enter(&self, number: u64) -> (SessionId, Rc<Bell>) {
+        let [.., process] = halves(number);
+        let [secret, ..] = halves(self.secrets.hash_one(number));
+        let (id, bell) = (SessionId { process, secret }, Rc::new(Bell::new()));
+        self.open.borrow_mut().insert(id, bell.clone());
+        (id, bell)
+    }
+
+    /// Cancels what a session asks at the moment, if it asks anything.
+    fn cancel(&self, id: SessionId) {
+        if let Some(bell) = self.open.borrow().get(&id) {
+            bell.notify(usize::MAX);
+        }
+    }
+}
+
+/// The upper and the lower half of a number.
+fn halves(number: u64) -> [u32; 2] {
+    let [a, b, c, d, e, f, g, h] = number.to_be_bytes();
+    [u32::from_be_bytes([a, b, c, d]), u32::from_be_bytes([e, f, g, h])]
+}
+
+/// A client's session; it can be cancelled until it is dropped.
+struct Session<'a> {
+    sessions: &'a Sessions,
+    id: SessionId,
+    cancelled: Rc<Bell>,
+}
+
+impl Drop for Session<'_> {
+    fn drop(&mut self) {
+        self.sessions.open.borrow_mut().remove(&self.id);
+    }
 }
 
 /// Accepts clients until the pooler turns deaf.
@@ -121,8 +169,10 @@
     let owner = door.clone();
     let task = async move {
         let seat = owner.seats.take();
+        let (id, cancelled) = owner.sessions.enter(seat.number());
         let mut client = Client {
             door: &owner,
+            session: Session { sessions: &owner.sessions, id, cancelled },
             // Closed before the seat counts as free.
             stream,
             buffer: ReadBuffer::default(),
@@ -162,6 +212,7 @@
 
 struct Client<'a> {
     door: &'a Rc<Door>,
+    session: Session<'a>,
     stream: Async<TcpStream>,
     buffer: ReadBuffer,
     seat: Seat<'a>,
@@ -250,7 +301,10 @@
                 self.buffer.consume(size);
                 match kind {
                     Startup::Encryption => self.send(&[b"N"]).await?,
-                    Startup::Cancel => return Ok(false),
+                    Startup::Cancel(session) => {
+                        self.door.sessions.cancel(session);
+                        return Ok(false);
+                    }
                     Startup::Session => break,
                 }
             } else if !self.more().await? {
@@ -264,7 +318,8 @@
         }
         self.stage = Stage::Silent;
         let mut out = Vec::with_capacity(256);
-        write::welcome(&mut out, std::process::id(), 0);
+        let SessionId { process, secret } = self.session.id;
+        write::welcome(&mut out, process, secret);
         self.send(&[&out]).await?;
         Ok(true)
     }
@@ -414,18 +469,28 @@
         id: &str,
         out: &mut Vec<u8>,
     ) -> Result<bool, ClientError> {
-        let Self { door, stream, buffer, .. } = self;
+        let Self { door, stream, buffer, session, .. } = self;
+        // Only what is asked now is cancelled, not what comes behind it.
+        let cancelled = session.cancelled.listen();
         let left = async {
             client_left(stream, buffer).await;
             Cut::ClientLeft
         };
+        let cancelled = async {
+            cancelled.await;
+            Cut::Cancelled
+        };
         let ending = async {
             door.life.ending.raised().await;
             Cut::ProcessEnds
         };
-        let answer = serve(&door.driver, &*door.pool, &asked, or(left, ending)).await;
+        let answer = serve(&door.driver, &*door.pool, &asked, or(left, or(cancelled, ending))).await;
         let (class, need) = &door.classes[asked.class.0];
-        if let (Final::Failed { at: Some(at) }, Need::Write) = (&answer, need) {
+        let in_doubt = match &answer {
+            Final::Failed { at } | Final::Cancelled { at } => at.as_ref().filter(|_| *need == Need::Write),
+            _ => None,
+        };
+        if let Some(at) = in_doubt {
             door.doubts.add(id, class, Some(at.clone()), door.driver.clock.now());
         }
         self.buffer.give_back(asked.query.bytes);
@@ -457,6 +522,11 @@
                 write::ready(out);
                 self.send(&[out]).await?;
             }
+            Final::Cancelled { .. } => {
+                write::error(out, Severity::Error, "57014", "canceled by its client", None);
+                write::ready(out);
+                self.send(&[out]).await?;
+            }
         }
         Ok(true)
     }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -110,6 +110,7 @@
             longest_deadline,
             open_ids: RefCell::default(),
             scratch: RefCell::new(vec![0; SCRATCH]),
+            sessions: frontend::Sessions::default(),
         };
 
         // The list last held comes first: a pooler serves from it while discovery is down.
--- a/crates/net/src/pg/frontend.rs
+++ b/crates/net/src/pg/frontend.rs
@@ -2,13 +2,22 @@
 
 use super::{LONGEST_STARTUP, PgError, length, text};
 
+/// The key of a session, as it is told at its start (BackendKeyData).
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct SessionId {
+    /// Which one it is.
+    pub process: u32,
+    /// What only its client knows.
+    pub secret: u32,
+}
+
 /// The message that opens a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Startup {
     /// A wish for TLS or GSS encryption, answered with one byte; another startup message follows.
     Encryption,
-    /// A request to cancel a query; it gets no answer.
-    Cancel,
+    /// A request to cancel what the session with this key asks at the moment; it gets no answer.
+    Cancel(SessionId),
     /// A session begins.
     Session,
 }
@@ -30,7 +39,13 @@
         return Err(PgError::Malformed("startup message"));
     };
     let kind = match (u16::from_be_bytes([a, b]), u16::from_be_bytes([c, d])) {
-        (SPECIAL, CANCEL) => Startup::Cancel,
+        (SPECIAL, CANCEL) => {
+            let &[_, _, _, _, p, q, r, s, t, u, v, w] = body else {
+                return Err(PgError::Malformed("cancel request"));
+            };
+            let (process, secret) = (u32::from_be_bytes([p, q, r, s]), u32::from_be_bytes([t, u, v, w]));
+            Startup::Cancel(SessionId { process, secret })
+        }
         (SPECIAL, TLS | GSS) => Startup::Encryption,
         (3, _) => Startup::Session,
         (major, minor) => return Err(PgError::Version(major, minor)),
--- a/crates/net/src/pg/write.rs
+++ b/crates/net/src/pg/write.rs
@@ -24,7 +24,7 @@
     out.push(0);
 }
 
-/// The answer to a startup message: welcome, and ready.
+/// The answer to a startup message: welcome, the key to cancel with, and ready.
 pub fn welcome(out: &mut Vec<u8>, process: u32, secret: u32) {
     message(out, b'R', |out| out.extend_from_slice(&0_u32.to_be_bytes()));
     let parameters = [
--- a/crates/net/src/request.rs
+++ b/crates/net/src/request.rs
@@ -70,6 +70,8 @@
 pub enum Cut {
     /// Its client has left.
     ClientLeft,
+    /// Its client has cancelled it.
+    Cancelled,
     /// The process ends before its deadline.
     ProcessEnds,
 }
@@ -86,6 +88,11 @@
         /// The member.
         at: Option<MemberId>,
     },
+    /// Ended at its client's wish. Named is the last member that may have run it, if one may.
+    Cancelled {
+        /// The member.
+        at: Option<MemberId>,
+    },
     /// Nobody is there to be told.
     Gone,
 }
@@ -200,6 +207,10 @@
             driver.counters.gone.add();
             Final::Gone
         }
+        Cut::Cancelled => {
+            driver.counters.cancelled.add();
+            Final::Cancelled { at: may_have_run }
+        }
         Cut::ProcessEnds if may_have_run.is_some() => failed(driver, may_have_run),
         Cut::ProcessEnds => refused(driver, None),
     }
--- a/crates/net/src/seats.rs
+++ b/crates/net/src/seats.rs
@@ -152,6 +152,12 @@
 }
 
 impl Seat<'_> {
+    /// Its number; no two have the same.
+    #[must_use]
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
     /// Does `work` in a state in which the client can be asked to make room; `None` if it was, and `work` had
     /// not ended by then. What has ended goes before: a client whose request can be read stays.
     pub async fn yielding<T>(&self, rank: Rank, since: Instant, work: impl Future<Output = T>) -> Option<T> {
