--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -122,7 +122,7 @@
     // The server welcomes nobody at first: the connection comes up late.
     let (open, opened) = channel::<()>();
     let opened = Mutex::new(opened);
-    let door = move || drop(opened.lock().unwrap().recv());
+    let door = move || assert!(opened.lock().unwrap().recv().is_err());
     let server = Server::with_door("s-1", door, |wire, _| {
         wire.row(b"s-1", "replica", NOW_MS);
         true
