See that a client has closed behind much that it sent ahead

Found by review of clients that send much at once and go: behind 16 KB that wait their turn nothing more was read, so the end of the stream stood unseen behind them, and each command ahead of it was still sent on.

At fault: `client_left` in crates/net/src/frontend.rs. Up to 16 clients at a time now have 256 KB read ahead, 4 MB in all; beyond that it is as before.

--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -680,6 +680,30 @@
     assert_eq!(client.ask(&menu("1")).value.as_deref(), Some(&b"s-1"[..]));
 }
 
+#[test]
+fn a_client_that_sends_much_ahead_and_closes_has_gone() {
+    let (open, server) = held("s-1");
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
+    let mut client = Client::connect(&pooler);
+    client.send(&menu("1"));
+    while server.got().is_empty() {
+        std::thread::yield_now();
+    }
+    let mut ahead = Vec::new();
+    for id in 0..1_000 {
+        write::query(&mut ahead, &menu(&format!("2-{id}")));
+    }
+    assert!(ahead.len() > 64 * 1024);
+    client.0.put(&ahead);
+    drop(client);
+    drop(open);
+    while !pooler.counters().contains(" gone=1 ") {
+        assert_eq!(server.got().len(), 1, "nothing more is begun for it");
+    }
+    assert_eq!(server.got().len(), 1);
+}
+
 #[test]
 fn a_client_can_cancel_what_it_asks_and_nobody_else_can() {
     let (open, held) = held("s-1");
--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -15,7 +15,7 @@
 use event_listener::Event as Bell;
 use futures_lite::future::{or, yield_now};
 use linnetdeal_core::*;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::hash::{BuildHasher, DefaultHasher, Hash, Hasher, RandomState};
 use std::io;
@@ -40,8 +40,11 @@
 /// same thing, sent again as soon as it was turned away, would keep others waiting.
 const REST: Duration = Duration::from_millis(50);
 const MOST_ERRORS: u32 = 8;
-/// What a client may send ahead while its request is out; beyond it nothing more is read until then.
+/// What a client may send ahead while its request is out, and what a few at a time may: who closes behind more
+/// than is read goes unnoticed until then.
 const AHEAD: usize = 16 * 1024;
+const FAR_AHEAD: usize = 256 * 1024;
+const MOST_FAR_AHEAD: usize = 16;
 
 /// Opens the listening socket.
 ///
@@ -80,6 +83,8 @@
     pub(crate) scratch: RefCell<Vec<u8>>,
     /// Who can be asked to cancel.
     pub(crate) sessions: Sessions,
+    /// How many clients are far ahead.
+    pub(crate) far_ahead: Cell<usize>,
 }
 
 /// The sessions that are open, by their keys.
@@ -181,6 +186,7 @@
             since: Instant::now(),
             errors: 0,
             closed: false,
+            far: None,
         };
         // What went wrong on one client's connection concerns nobody else: it is closed.
         let _ = client.run(room).await;
@@ -223,6 +229,27 @@
     errors: u32,
     /// Nothing more is sent to it.
     closed: bool,
+    /// It may send far ahead.
+    far: Option<FarAhead>,
+}
+
+/// The right of one client to have more read ahead than others.
+struct FarAhead(Rc<Door>);
+
+impl FarAhead {
+    fn enter(door: &Rc<Door>) -> Option<Self> {
+        let now = door.far_ahead.get();
+        (now < MOST_FAR_AHEAD).then(|| {
+            door.far_ahead.set(now + 1);
+            Self(door.clone())
+        })
+    }
+}
+
+impl Drop for FarAhead {
+    fn drop(&mut self) {
+        self.0.far_ahead.set(self.0.far_ahead.get() - 1);
+    }
 }
 
 /// What a command comes down to.
@@ -469,11 +496,11 @@
         id: &str,
         out: &mut Vec<u8>,
     ) -> Result<bool, ClientError> {
-        let Self { door, stream, buffer, session, .. } = self;
+        let Self { door, stream, buffer, session, far, .. } = self;
         // Only what is asked now is cancelled, not what comes behind it.
         let cancelled = session.cancelled.listen();
         let left = async {
-            client_left(stream, buffer).await;
+            client_left(door, stream, buffer, far).await;
             Cut::ClientLeft
         };
         let cancelled = async {
@@ -494,6 +521,9 @@
             door.doubts.add(id, class, Some(at.clone()), door.driver.clock.now());
         }
         self.buffer.give_back(asked.query.bytes);
+        if self.buffer.data().len() < AHEAD {
+            self.far = None;
+        }
         self.answer(answer, out).await
     }
 
@@ -533,11 +563,19 @@
 }
 
 /// Ends when the client has closed its connection. What it sends ahead is kept, within bounds.
-async fn client_left(stream: &Async<TcpStream>, buffer: &mut ReadBuffer) {
-    while buffer.data().len() < AHEAD {
+async fn client_left(
+    door: &Rc<Door>,
+    stream: &Async<TcpStream>,
+    buffer: &mut ReadBuffer,
+    far: &mut Option<FarAhead>,
+) {
+    while buffer.data().len() < if far.is_some() { FAR_AHEAD } else { AHEAD } {
         if !matches!(buffer.fill(stream).await, Ok(1..)) {
             return;
         }
+        if far.is_none() && buffer.data().len() >= AHEAD {
+            *far = FarAhead::enter(door);
+        }
     }
     std::future::pending().await
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -29,7 +29,7 @@
 use linnetdeal_core::Router;
 use members::{Feed, Members};
 use seats::Seats;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::fmt::Display;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -111,6 +111,7 @@
             open_ids: RefCell::default(),
             scratch: RefCell::new(vec![0; SCRATCH]),
             sessions: frontend::Sessions::default(),
+            far_ahead: Cell::new(0),
         };
 
         // The list last held comes first: a pooler serves from it while discovery is down.
