Ask the module once more before a read that waited is written

Found by review of connections that come up late: a bounded read is chosen for a replica whose known position will do at that moment; the bound is counted from the last byte of the send, up to a dial's limit later. The network code looked again for drains, not for that. On loopback, with a bound of 300 ms and a connection that takes longer: the read is written on a report too old by then.

At fault: `Pool::exchange` in crates/net/src/upstream.rs. The module says whether the attempt is `still_fit`; if not, the connection is kept and the attempt ends as never sent, so that the read is placed again.

The test of a client that closes behind much sent ahead could let the answer overtake the end of the stream on a busy machine; it now waits until the end has been noticed, with the first request still out.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -438,6 +438,14 @@
         actions.push(Action::Send { request: id, member, timeout: timeout.min(last - now) });
     }
 
+    /// Whether an attempt that waited for its connection may still be written: data grows old meanwhile.
+    #[must_use]
+    pub fn still_fit(&self, now: Time, id: RequestId, member: &MemberId) -> bool {
+        let Some((open, m)) = self.open.get(&id).zip(self.members.get(member)) else { return false };
+        let write = self.settings.classes[open.class].need == Need::Write;
+        write || m.role() == PRIMARY || self.fit(m, self.need(now, open), now)
+    }
+
     fn set_due(&mut self, id: RequestId, at: Time) {
         let Some(open) = self.open.get_mut(&id) else { return };
         self.due.remove(&(open.due, id));
@@ -465,11 +473,9 @@
         if let Some(group) = self.groups.get_mut(&open.group) {
             group.held.remove(&(open.arrived, id));
         }
-        for (at, attempt) in open.attempts.iter().enumerate() {
-            if attempt.open && self.settings.cancels {
-                actions.push(Action::Cancel { request: id, attempt: AttemptNo(at as u32) });
-            }
-        }
+        let out =
+            open.attempts.iter().enumerate().filter(|(_, attempt)| attempt.open && self.settings.cancels);
+        actions.extend(out.map(|(at, _)| Action::Cancel { request: id, attempt: AttemptNo(at as u32) }));
         Some(open)
     }
 
@@ -638,7 +644,7 @@
 
     fn judge(&mut self, now: Time, id: &MemberId, verdict: Verdict, took: Span, out: Option<&Out>) {
         let Some(m) = self.members.get(id) else { return };
-        let (gid, role) = (m.group, m.role());
+        let (gid, role, work, credit) = (m.group, m.role(), self.in_work(m, now), self.credit(m, now));
         self.stirred.insert(gid);
         // What went overdue or grew old while this router itself stood still tells nothing of the member.
         if self.stalled == now && matches!(verdict, Verdict::Timeout | Verdict::Reset) {
@@ -647,8 +653,6 @@
         // One that got lost beside others that were answered says nothing of how the member does.
         let lost = out.is_some_and(|out| out.sent < m.reached && self.lost(m, out, now));
         let dice = self.chance();
-        let work = self.members.get(id).map_or(0.0, |m| self.in_work(m, now));
-        let credit = self.members.get(id).map_or(0.0, |m| self.credit(m, now));
         let pace = out.map(|out| self.pace[out.class]);
         let aim = out.map_or(Span(0), |out| self.settings.classes[out.class].aim);
         let crowded = verdict == Verdict::Full || (verdict == Verdict::Ok && took > aim.times(IN_GOOD_TIME));
@@ -872,10 +876,7 @@
             return;
         }
         self.swept = now;
-        if self.ask_at.is_some_and(|at| now >= at) {
-            self.ask_at = None;
-            actions.push(Action::Subscribe);
-        }
+        actions.extend(self.ask_at.take_if(|at| now >= *at).map(|_| Action::Subscribe));
         self.stirred.append(&mut self.waiting);
         if self.tokens.len() > TOKENS {
             let floor = self.members.values().filter(|m| self.sendable(m)).map(|m| m.position).min();
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -757,3 +757,22 @@
         assert_eq!(sends(&actions), [member(2)], "{verdict:?}");
     }
 }
+
+#[test]
+fn a_read_that_waited_for_its_connection_is_fit_only_while_the_data_there_is() {
+    let mut host = with_primary(Settings { checks: Checks::None, ..settings() });
+    host.probed(2, false, 600);
+    let (read, actions) = host.ask(READ);
+    assert_eq!(sends(&actions), [member(2)]);
+    host.now = host.now + Span::millis(390);
+    assert!(host.router.still_fit(host.now, read, &member(2)), "990 ms old, where 1,000 will do");
+    host.now = host.now + Span::millis(20);
+    assert!(!host.router.still_fit(host.now, read, &member(2)));
+    assert!(host.router.still_fit(host.now, read, &member(1)), "a primary stands at the present");
+    host.probed(2, false, 0);
+    assert!(host.router.still_fit(host.now, read, &member(2)));
+    host.end(read, 0, 2, Verdict::Ok);
+    assert!(!host.router.still_fit(host.now, read, &member(2)), "over");
+    let (write, _) = host.ask(UNSAFE);
+    assert!(host.router.still_fit(host.now, write, &member(3)), "a write needs no position");
+}
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -3,11 +3,12 @@
 mod peers;
 use linnetdeal_net::pg::write;
 use peers::*;
+use serde_json::Value;
 use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::sync::Mutex;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::{Sender, channel};
+use std::sync::{Arc, Mutex};
 use std::time::{SystemTime, UNIX_EPOCH};
 
 const NOW_MS: &str = "1767225600123";
@@ -143,6 +144,48 @@
     assert!(told.is_some_and(|told| told <= 7_700), "{told:?} of 8,000 ms, 300 of them gone");
 }
 
+#[test]
+fn a_read_is_not_written_once_the_data_known_there_has_grown_too_old() {
+    // A replica that closes behind each report: the read after it needs a connection of its own, and the second
+    // connection comes up late.
+    let (open, opened) = channel::<()>();
+    let (opened, doors) = (Mutex::new(opened), AtomicUsize::new(0));
+    let door = move || {
+        if doors.fetch_add(1, Ordering::SeqCst) > 0 {
+            assert!(opened.lock().unwrap().recv().is_err());
+        }
+    };
+    let story = Arc::new(Mutex::new(Vec::new()));
+    let told = story.clone();
+    let server = Server::with_door("s-1", door, move |wire, statement| {
+        let show = statement.starts_with("SHOW");
+        told.lock().unwrap().push(if show { "report" } else { "read" });
+        if show {
+            let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_secs_f64();
+            wire.row(format!("x0={now},x1=0").as_bytes(), "replica", NOW_MS);
+        } else {
+            wire.row(b"s-1", "replica", NOW_MS);
+        }
+        !show
+    });
+    let discovery = Discovery::new();
+    let mut config: Value =
+        serde_json::from_str(&config(&discovery, vec![server.entry("up", "replica")], 1_024)).unwrap();
+    config["settings"]["FamilyInfo"]["NeedsByClass"][1] = "lag_bound".into();
+    config["settings"]["FamilyInfo"]["OldestData"][1] = 300.0.into();
+    config["settings"]["FamilyInfo"]["WhenBehind"] = "none".into();
+    let pooler = Pooler::on(&config.to_string());
+    let (mut client, mut beside) = (Client::connect(&pooler), Client::connect(&pooler));
+    client.send(&menu("1").replace("bundle-menu", "my-recent"));
+    while !pooler.counters().contains(" sent=1 ") {}
+    // Asked later, and over: the report is more than 300 ms old by now.
+    assert!(beside.ask(&menu("2").replace("d=8000", "d=300")).code.is_some());
+    drop(open);
+    assert_eq!(client.answer().value.as_deref(), Some(&b"s-1"[..]));
+    let story = story.lock().unwrap();
+    assert_eq!(story[..], ["report", "report", "read"], "a newer report goes before the read");
+}
+
 #[test]
 fn a_top_up_walks_on_proof_that_it_never_ran_and_never_runs_twice() {
     // The one listed as primary is a replica by now; the true one takes the write and dies of the second.
@@ -370,7 +413,7 @@
         [b"E\0\0\0\x0aC5330".as_slice(), ready].concat(),
     ];
     let count = spoilt.len();
-    let spoils = std::sync::atomic::AtomicUsize::new(0);
+    let spoils = AtomicUsize::new(0);
     let server = Server::new("s-1", move |wire, statement| {
         // The first attempt of each request is spoilt, while the connection stays open. The second brings more
         // than belongs to it: a copy just behind.
@@ -697,11 +740,12 @@
     assert!(ahead.len() > 64 * 1024);
     client.0.put(&ahead);
     drop(client);
+    // It is noticed while the first is still out, and what stands behind it goes with it.
+    let noticed = (0..2_000).any(|_| pooler.counters().contains(" gone=1 "));
+    assert!(noticed, "it has gone");
     drop(open);
-    while !pooler.counters().contains(" gone=1 ") {
-        assert_eq!(server.got().len(), 1, "nothing more is begun for it");
-    }
-    assert_eq!(server.got().len(), 1);
+    assert_eq!(Client::connect(&pooler).ask(&menu("3")).value.as_deref(), Some(&b"s-1"[..]));
+    assert_eq!(server.got().len(), 2, "nothing more was begun for it");
 }
 
 #[test]
--- a/crates/net/src/driver.rs
+++ b/crates/net/src/driver.rs
@@ -114,6 +114,11 @@
         Ticket { driver: self.clone(), id, orders }
     }
 
+    /// Whether the module would still have this attempt written.
+    pub fn still_fit(&self, request: RequestId, member: &MemberId) -> bool {
+        self.router.borrow().still_fit(self.clock.now(), request, member)
+    }
+
     /// Wakes the module when it asked for it. A later wish takes the place of an earlier one: the module
     /// voices one only if it is sooner, or the earlier has passed.
     pub async fn run_wakes(&self) {
--- a/crates/net/src/request.rs
+++ b/crates/net/src/request.rs
@@ -18,12 +18,14 @@
     type Reply;
 
     /// Makes one attempt and waits no longer than `wait` for its end. Nothing below this may send it again.
-    /// When the future ends or is dropped, nothing of the attempt is out any more.
+    /// When the future ends or is dropped, nothing of the attempt is out any more. Nothing is written that is not
+    /// `still_fit` when its connection is there.
     fn attempt(
         &self,
         member: &MemberId,
         query: &Self::Query,
         wait: Duration,
+        still_fit: &dyn Fn() -> bool,
     ) -> impl Future<Output = Ended<Self::Reply>>;
 }
 
@@ -144,7 +146,9 @@
         driver.counters.sent.add();
         let sent = driver.clock.now();
         let turn = {
-            let attempt = async { Turn::Ended(carrier.attempt(&member, &asked.query, duration(wait)).await) };
+            let still_fit = || driver.still_fit(ticket.id(), &member);
+            let attempt = carrier.attempt(&member, &asked.query, duration(wait), &still_fit);
+            let attempt = async { Turn::Ended(attempt.await) };
             let recall = async { Turn::Ordered(ticket.order().await) };
             let left = async { Turn::Cut(cut.as_mut().await) };
             or(attempt, or(recall, left)).await
--- a/crates/net/src/upstream.rs
+++ b/crates/net/src/upstream.rs
@@ -201,14 +201,14 @@
 enum Query<'q> {
     /// For its load report.
     Report,
-    /// A client's statement.
-    Statement(&'q Statement),
+    /// A client's statement, and whether it may still be written.
+    Statement(&'q Statement, &'q dyn Fn() -> bool),
 }
 
 impl Query<'_> {
     /// Writes it, so that it tells what is left of the wait when it is written.
     async fn write(self, stream: &Async<TcpStream>, left: Duration) -> io::Result<()> {
-        let Self::Statement(Statement { bytes, whole, wait }) = self else {
+        let Self::Statement(Statement { bytes, whole, wait }, _) = self else {
             let mut query = Vec::with_capacity(32);
             pg::write::query(&mut query, "SHOW gauges");
             return write_all(stream, &[&query]).await;
@@ -392,6 +392,11 @@
         if !self.members.in_service(member) {
             return Err(Lost::Withdrawn);
         }
+        // Nor does a read whose data there has grown too old by now.
+        if matches!(query, Query::Statement(_, still_fit) if !still_fit()) {
+            self.put_back(member, connection);
+            return Err(Lost::Withdrawn);
+        }
         stage.set(Stage::Writing);
         query.write(&connection.stream, until.saturating_duration_since(Instant::now())).await?;
         stage.set(Stage::Sent);
@@ -449,8 +454,14 @@
     type Query = Statement;
     type Reply = Reply;
 
-    async fn attempt(&self, member: &MemberId, query: &Statement, wait: Duration) -> Ended<Reply> {
-        match self.within(wait, member, Query::Statement(query)).await {
+    async fn attempt(
+        &self,
+        member: &MemberId,
+        query: &Statement,
+        wait: Duration,
+        still_fit: &dyn Fn() -> bool,
+    ) -> Ended<Reply> {
+        match self.within(wait, member, Query::Statement(query, still_fit)).await {
             Err(verdict) => Ended::without_answer(verdict),
             Ok((mut connection, exchange)) => {
                 let Exchange { verdict, notes, pieces, size, ready, .. } = exchange;
