Call seats connection slots, the door the frontend, and a session's key its backend key

No behaviour changes. PostgreSQL's and poolers' own words: BackendKeyData carries the key to cancel with, a pooler has a frontend towards its clients, and limits their connections by slots.

--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -2,9 +2,9 @@
 
 use super::buffer::{ReadBuffer, discard, write_all};
 use super::pg::write::{self, Severity};
-use super::pg::{self, Asks, PgError, SessionId, Startup};
+use super::pg::{self, Asks, BackendKey, PgError, Startup};
 use super::request::{Asked, Cut, Final, serve};
-use super::seats::{Rank, Seat, Seats};
+use super::slots::{Rank, Slot, Slots};
 use super::upstream::{Pool, Reply, Statement};
 use crate::counters::Counters;
 use crate::doubts::Doubts;
@@ -58,7 +58,7 @@
 }
 
 /// What those need who serve clients.
-pub(crate) struct Door {
+pub(crate) struct Frontend {
     /// What carries the tasks.
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     /// The module and its mailboxes.
@@ -69,8 +69,8 @@
     pub(crate) counters: Rc<Counters>,
     /// How far the pooler's life has come.
     pub(crate) life: Rc<Life>,
-    /// The seats of the connections.
-    pub(crate) seats: Rc<Seats>,
+    /// The slots of the connections.
+    pub(crate) slots: Rc<Slots>,
     /// The classes by name.
     pub(crate) classes: Vec<(String, Need)>,
     /// Writes whose outcome nobody knows.
@@ -92,21 +92,21 @@
 pub(crate) struct Sessions {
     /// Makes secrets that nobody can guess.
     secrets: RandomState,
-    open: RefCell<HashMap<SessionId, Rc<Bell>>>,
+    open: RefCell<HashMap<BackendKey, Rc<Bell>>>,
 }
 
 impl Sessions {
     /// Opens the session of this number; it is told of by the bell.
-    fn enter(&self, number: u64) -> (SessionId, Rc<Bell>) {
+    fn enter(&self, number: u64) -> (BackendKey, Rc<Bell>) {
         let [.., process] = halves(number);
         let [secret, ..] = halves(self.secrets.hash_one(number));
-        let (id, bell) = (SessionId { process, secret }, Rc::new(Bell::new()));
+        let (id, bell) = (BackendKey { process, secret }, Rc::new(Bell::new()));
         self.open.borrow_mut().insert(id, bell.clone());
         (id, bell)
     }
 
     /// Cancels what a session asks at the moment, if it asks anything.
-    fn cancel(&self, id: SessionId) {
+    fn cancel(&self, id: BackendKey) {
         if let Some(bell) = self.open.borrow().get(&id) {
             bell.notify(usize::MAX);
         }
@@ -122,7 +122,7 @@
 /// A client's session; it can be cancelled until it is dropped.
 struct Session<'a> {
     sessions: &'a Sessions,
-    id: SessionId,
+    id: BackendKey,
     cancelled: Rc<Bell>,
 }
 
@@ -133,28 +133,28 @@
 }
 
 /// Accepts clients until the pooler turns deaf.
-pub(crate) async fn run(door: Rc<Door>, listener: Async<TcpListener>) {
+pub(crate) async fn run(frontend: Rc<Frontend>, listener: Async<TcpListener>) {
     loop {
         let accepted = async {
-            let room = door.seats.room().await;
+            let room = frontend.slots.room().await;
             Some(listener.accept().await.map(|(stream, _)| (stream, room)))
         };
         let deaf = async {
-            door.life.deaf.raised().await;
+            frontend.life.deaf.raised().await;
             None
         };
         match or(accepted, deaf).await {
             None => return,
             Some(Ok((stream, room))) => {
-                admit(&door, stream, room);
+                admit(&frontend, stream, room);
                 // A flood of connections holds up nobody who is already here.
                 yield_now().await;
             }
             // Out of descriptors: neither spin nor end. An idle connection is let go to make room.
             Some(Err(error)) if super::upstream::shortage(&error) => {
-                door.counters.short.add();
-                if !door.pool.close_one_idle() {
-                    door.seats.ask_one_to_go(Rank::Parting..=Rank::Idle);
+                frontend.counters.short.add();
+                if !frontend.pool.close_one_idle() {
+                    frontend.slots.ask_one_to_go(Rank::Parting..=Rank::Idle);
                 }
                 Timer::after(SHORT_PAUSE).await;
             }
@@ -166,22 +166,22 @@
     }
 }
 
-fn admit(door: &Rc<Door>, stream: Async<TcpStream>, room: bool) {
-    door.counters.clients.add();
+fn admit(frontend: &Rc<Frontend>, stream: Async<TcpStream>, room: bool) {
+    frontend.counters.clients.add();
     // An answer held back until the one before is acknowledged would be lost with a connection that breaks. One that
     // can't be set so has ended already, as its first read tells.
     let _ = stream.get_ref().set_nodelay(true);
-    let owner = door.clone();
+    let owner = frontend.clone();
     let task = async move {
-        let seat = owner.seats.take();
-        let (id, cancelled) = owner.sessions.enter(seat.number());
+        let slot = owner.slots.take();
+        let (id, cancelled) = owner.sessions.enter(slot.number());
         let mut client = Client {
-            door: &owner,
+            frontend: &owner,
             session: Session { sessions: &owner.sessions, id, cancelled },
-            // Closed before the seat counts as free.
+            // Closed before the slot counts as free.
             stream,
             buffer: ReadBuffer::default(),
-            seat,
+            slot,
             stage: Stage::Startup,
             since: Instant::now(),
             errors: 0,
@@ -191,7 +191,7 @@
         // What went wrong on one client's connection concerns nobody else: it is closed.
         let _ = client.run(room).await;
     };
-    door.executor.spawn(task).detach();
+    frontend.executor.spawn(task).detach();
 }
 
 /// Why a client's connection ends.
@@ -217,13 +217,13 @@
 }
 
 struct Client<'a> {
-    door: &'a Rc<Door>,
+    frontend: &'a Rc<Frontend>,
     session: Session<'a>,
     stream: Async<TcpStream>,
     buffer: ReadBuffer,
-    seat: Seat<'a>,
+    slot: Slot<'a>,
     stage: Stage,
-    /// When it came to its seat, or last had an answer.
+    /// When it came to its slot, or last had an answer.
     since: Instant,
     /// Its commands that were no use.
     errors: u32,
@@ -234,14 +234,14 @@
 }
 
 /// The right of one client to have more read ahead than others.
-struct FarAhead(Rc<Door>);
+struct FarAhead(Rc<Frontend>);
 
 impl FarAhead {
-    fn enter(door: &Rc<Door>) -> Option<Self> {
-        let now = door.far_ahead.get();
+    fn enter(frontend: &Rc<Frontend>) -> Option<Self> {
+        let now = frontend.far_ahead.get();
         (now < MOST_FAR_AHEAD).then(|| {
-            door.far_ahead.set(now + 1);
-            Self(door.clone())
+            frontend.far_ahead.set(now + 1);
+            Self(frontend.clone())
         })
     }
 }
@@ -272,7 +272,7 @@
         };
         match ended {
             Err(ClientError::Pg(error)) => {
-                self.door.counters.rejected.add();
+                self.frontend.counters.rejected.add();
                 self.part("08P01", &error.to_string(), None).await
             }
             // Who has asked nothing yet has no answer to lose.
@@ -301,15 +301,15 @@
         self.buffer = ReadBuffer::default();
         let rest = async {
             // One that sends at full speed holds up nobody else.
-            while matches!(discard(&self.stream, &self.door.scratch).await, Ok(1..)) {
+            while matches!(discard(&self.stream, &self.frontend.scratch).await, Ok(1..)) {
                 yield_now().await;
             }
         };
         let enough = async {
             Timer::after(longest).await;
         };
-        let work = or(rest, or(enough, self.door.life.ended.raised()));
-        self.seat.yielding(Rank::Parting, Instant::now(), work).await;
+        let work = or(rest, or(enough, self.frontend.life.ended.raised()));
+        self.slot.yielding(Rank::Parting, Instant::now(), work).await;
         Ok(())
     }
 
@@ -329,7 +329,7 @@
                 match kind {
                     Startup::Encryption => self.send(&[b"N"]).await?,
                     Startup::Cancel(session) => {
-                        self.door.sessions.cancel(session);
+                        self.frontend.sessions.cancel(session);
                         return Ok(false);
                     }
                     Startup::Session => break,
@@ -339,13 +339,13 @@
             }
         }
         if !room {
-            self.door.counters.crowded_out.add();
+            self.frontend.counters.crowded_out.add();
             self.part("53300", "too many clients", Some("250")).await?;
             return Ok(false);
         }
         self.stage = Stage::Silent;
         let mut out = Vec::with_capacity(256);
-        let SessionId { process, secret } = self.session.id;
+        let BackendKey { process, secret } = self.session.id;
         write::welcome(&mut out, process, secret);
         self.send(&[&out]).await?;
         Ok(true)
@@ -378,7 +378,7 @@
                     self.send(&[&out]).await?;
                 }
                 Command::Rejected(code, words) => {
-                    self.door.counters.rejected.add();
+                    self.frontend.counters.rejected.add();
                     self.errors += 1;
                     if self.errors >= MOST_ERRORS {
                         return self.part(code, &words, None).await;
@@ -392,7 +392,7 @@
                     let rest = async {
                         Timer::after(REST).await;
                     };
-                    if self.seat.yielding(Rank::Silent, self.since, rest).await.is_none() {
+                    if self.slot.yielding(Rank::Silent, self.since, rest).await.is_none() {
                         return Ok(());
                     }
                 }
@@ -418,7 +418,7 @@
     /// Reads more; false if there will be none, or the client has to go: it makes room, took too long for a
     /// command, or the process ends. What is readable goes before all that.
     async fn more(&mut self) -> Result<bool, ClientError> {
-        let Self { door, stream, buffer, seat, stage, since, .. } = self;
+        let Self { frontend, stream, buffer, slot, stage, since, .. } = self;
         let between = buffer.data().is_empty() && *stage != Stage::Startup;
         buffer.rest();
         // The first bytes of a command that has begun came just now; they don't grant more time again.
@@ -435,12 +435,12 @@
             Ok(false)
         };
         let ending = async {
-            let ends = if between { &door.life.closing } else { &door.life.ending };
+            let ends = if between { &frontend.life.closing } else { &frontend.life.ending };
             ends.raised().await;
             Ok(false)
         };
         let rank = if *stage == Stage::Known { Rank::Idle } else { Rank::Silent };
-        let done = seat.yielding(rank, *since, or(read, or(late, ending))).await;
+        let done = slot.yielding(rank, *since, or(read, or(late, ending))).await;
         if between && *stage == Stage::Known {
             *since = Instant::now();
         }
@@ -458,8 +458,8 @@
                     Ok(Asks::Request(comment)) => {
                         // What waits behind others is not taken late: its client counts from when it sent it.
                         let waited = self.buffer.arrived(size).map_or(Duration::ZERO, |at| at.elapsed());
-                        let asked = self.door.asked(statement, &comment, waited);
-                        let open = OpenId::enter(self.door, comment.id);
+                        let asked = self.frontend.asked(statement, &comment, waited);
+                        let open = OpenId::enter(self.frontend, comment.id);
                         if let (Some(asked), Some(open)) = (asked, open) {
                             let wait = comment.wait_at.clone();
                             let (bytes, at) = self.buffer.detach(size);
@@ -496,11 +496,11 @@
         id: &str,
         out: &mut Vec<u8>,
     ) -> Result<bool, ClientError> {
-        let Self { door, stream, buffer, session, far, .. } = self;
+        let Self { frontend, stream, buffer, session, far, .. } = self;
         // Only what is asked now is cancelled, not what comes behind it.
         let cancelled = session.cancelled.listen();
         let left = async {
-            client_left(door, stream, buffer, far).await;
+            client_left(frontend, stream, buffer, far).await;
             Cut::ClientLeft
         };
         let cancelled = async {
@@ -508,17 +508,17 @@
             Cut::Cancelled
         };
         let ending = async {
-            door.life.ending.raised().await;
+            frontend.life.ending.raised().await;
             Cut::ProcessEnds
         };
-        let answer = serve(&door.driver, &*door.pool, &asked, or(left, or(cancelled, ending))).await;
-        let (class, need) = &door.classes[asked.class.0];
+        let answer = serve(&frontend.driver, &*frontend.pool, &asked, or(left, or(cancelled, ending))).await;
+        let (class, need) = &frontend.classes[asked.class.0];
         let in_doubt = match &answer {
             Final::Failed { at } | Final::Cancelled { at } => at.as_ref().filter(|_| *need == Need::Write),
             _ => None,
         };
         if let Some(at) = in_doubt {
-            door.doubts.add(id, class, Some(at.clone()), door.driver.clock.now());
+            frontend.doubts.add(id, class, Some(at.clone()), frontend.driver.clock.now());
         }
         self.buffer.give_back(asked.query.bytes);
         if self.buffer.data().len() < AHEAD {
@@ -564,7 +564,7 @@
 
 /// Ends when the client has closed its connection. What it sends ahead is kept, within bounds.
 async fn client_left(
-    door: &Rc<Door>,
+    frontend: &Rc<Frontend>,
     stream: &Async<TcpStream>,
     buffer: &mut ReadBuffer,
     far: &mut Option<FarAhead>,
@@ -574,7 +574,7 @@
             return;
         }
         if far.is_none() && buffer.data().len() >= AHEAD {
-            *far = FarAhead::enter(door);
+            *far = FarAhead::enter(frontend);
         }
     }
     std::future::pending().await
@@ -582,26 +582,26 @@
 
 /// The id of a request that is open, given free when it is dropped: nobody else may use it meanwhile.
 struct OpenId {
-    door: Rc<Door>,
+    frontend: Rc<Frontend>,
     id: Box<str>,
 }
 
 impl OpenId {
     /// `None` if a request with this id is open.
-    fn enter(door: &Rc<Door>, id: &str) -> Option<Self> {
+    fn enter(frontend: &Rc<Frontend>, id: &str) -> Option<Self> {
         let id: Box<str> = id.into();
-        let new = door.open_ids.borrow_mut().insert(id.clone());
-        new.then(|| Self { door: door.clone(), id })
+        let new = frontend.open_ids.borrow_mut().insert(id.clone());
+        new.then(|| Self { frontend: frontend.clone(), id })
     }
 }
 
 impl Drop for OpenId {
     fn drop(&mut self) {
-        self.door.open_ids.borrow_mut().remove(&self.id);
+        self.frontend.open_ids.borrow_mut().remove(&self.id);
     }
 }
 
-impl Door {
+impl Frontend {
     /// The request that a statement makes that came so long ago; `None` if its class is unknown.
     fn asked(&self, statement: &str, comment: &pg::Comment<'_>, waited: Duration) -> Option<Asked<()>> {
         let at = self.classes.iter().position(|(name, _)| name == comment.class)?;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -15,8 +15,8 @@
 pub mod pg;
 pub mod probes;
 pub mod request;
-pub mod seats;
 pub mod signals;
+pub mod slots;
 pub mod upstream;
 
 use crate::config::Config;
@@ -28,7 +28,7 @@
 use life::Life;
 use linnetdeal_core::Router;
 use members::{Feed, Members};
-use seats::Seats;
+use slots::Slots;
 use std::cell::{Cell, RefCell};
 use std::fmt::Display;
 use std::future::Future;
@@ -85,26 +85,26 @@
         let pool = Rc::new(Pool::new(members.clone(), counters.clone(), config.host, most_upstream));
         let source = Rc::new(Source::new(config.discovery));
         let feed = Feed::new(members, driver.clone());
-        let seats = Seats::new(shared - most_upstream - spare_clients, spare_clients, config.sockets / 4);
-        let seats = Rc::new(seats);
+        let slots = Slots::new(shared - most_upstream - spare_clients, spare_clients, config.sockets / 4);
+        let slots = Rc::new(slots);
         let doubts = Rc::new(Doubts::default());
         shown.add(doubts.clone());
         let handler = signals::Handler {
             executor: executor.clone(),
             life: life.clone(),
-            seats: seats.clone(),
+            slots: slots.clone(),
             shown: shown.clone(),
             source: source.clone(),
             config_file,
             longest_deadline,
         };
-        let door = frontend::Door {
+        let frontend = frontend::Frontend {
             executor: executor.clone(),
             driver: driver.clone(),
             pool: pool.clone(),
             counters: counters.clone(),
             life: life.clone(),
-            seats,
+            slots,
             classes,
             doubts,
             longest_deadline,
@@ -126,7 +126,7 @@
         executor.spawn(async move { b.run_upkeep().await }).detach();
         executor.spawn(probes::run(executor.clone(), driver, pool, wanted)).detach();
         executor.spawn(discovery::run(follower, config.known.generation, pauses)).detach();
-        executor.spawn(frontend::run(Rc::new(door), listener)).detach();
+        executor.spawn(frontend::run(Rc::new(frontend), listener)).detach();
         Ok(Self { executor, life, shown, feed, name: config.name, listening })
     }
 
--- a/crates/net/src/pg/frontend.rs
+++ b/crates/net/src/pg/frontend.rs
@@ -4,7 +4,7 @@
 
 /// The key of a session, as it is told at its start (BackendKeyData).
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct SessionId {
+pub struct BackendKey {
     /// Which one it is.
     pub process: u32,
     /// What only its client knows.
@@ -17,7 +17,7 @@
     /// A wish for TLS or GSS encryption, answered with one byte; another startup message follows.
     Encryption,
     /// A request to cancel what the session with this key asks at the moment; it gets no answer.
-    Cancel(SessionId),
+    Cancel(BackendKey),
     /// A session begins.
     Session,
 }
@@ -44,7 +44,7 @@
                 return Err(PgError::Malformed("cancel request"));
             };
             let (process, secret) = (u32::from_be_bytes([p, q, r, s]), u32::from_be_bytes([t, u, v, w]));
-            Startup::Cancel(SessionId { process, secret })
+            Startup::Cancel(BackendKey { process, secret })
         }
         (SPECIAL, TLS | GSS) => Startup::Encryption,
         (3, _) => Startup::Session,
--- a/crates/net/src/pg/mod.rs
+++ b/crates/net/src/pg/mod.rs
@@ -10,7 +10,7 @@
     Answer, Code, ErrorFields, Notes, Part, error_fields, parameter, ready, report, row_value, server_message,
 };
 pub use comment::{Asks, Comment, key, request};
-pub use frontend::{SessionId, Startup, query_text, startup};
+pub use frontend::{BackendKey, Startup, query_text, startup};
 
 /// The longest value.
 pub const LONGEST_VALUE: usize = 64 * 1024;
--- a/crates/net/src/signals.rs
+++ b/crates/net/src/signals.rs
@@ -4,7 +4,7 @@
 use crate::counters::Shown;
 use crate::discovery::Source;
 use crate::life::Life;
-use crate::seats::Seats;
+use crate::slots::Slots;
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
@@ -36,8 +36,8 @@
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     /// How far the pooler's life has come.
     pub(crate) life: Rc<Life>,
-    /// The clients' seats: who is still there.
-    pub(crate) seats: Rc<Seats>,
+    /// The clients' slots: who is still there.
+    pub(crate) slots: Rc<Slots>,
     /// What is counted.
     pub(crate) shown: Rc<Shown>,
     /// Where the platform's list is followed.
@@ -92,18 +92,18 @@
 async fn drain(handler: &Handler) {
     let started = Instant::now();
     handler.life.draining.raise();
-    tracing::info!("draining with {} clients connected", handler.seats.taken());
+    tracing::info!("draining with {} clients connected", handler.slots.taken());
     let last = handler.longest_deadline.min(LONGEST_COUNTED) + KILL_GRACE - MARGIN;
     Timer::after(last.saturating_sub(PARTING).max(ARRIVALS)).await;
     handler.life.closing.raise();
     Timer::after(STRAGGLERS).await;
     handler.life.deaf.raise();
-    while handler.seats.taken() > 0 && started.elapsed() < last {
+    while handler.slots.taken() > 0 && started.elapsed() < last {
         Timer::after(LOOK).await;
     }
     handler.life.ending.raise();
     let last = last + FLUSH;
-    while handler.seats.taken() > 0 && started.elapsed() < last {
+    while handler.slots.taken() > 0 && started.elapsed() < last {
         Timer::after(LOOK).await;
     }
     handler.life.ended.raise();
--- a/crates/net/src/seats.rs
+++ b/crates/net/src/slots.rs
@@ -1,8 +1,8 @@
-//! The seats of client connections: how many there are, and who makes room for whom.
+//! The slots of client connections: how many there are, and who makes room for whom.
 //!
-//! A client with an open request keeps its seat. Of the others those go first that were told that they have to
+//! A client with an open request keeps its slot. Of the others those go first that were told that they have to
 //! go, then those that have asked nothing yet, oldest first, then those idle longest. Clients that have asked
-//! nothing share a part of the seats among themselves, so that a silent crowd pushes out nobody but its own.
+//! nothing share a part of the slots among themselves, so that a silent crowd pushes out nobody but its own.
 //! Who has asked gets a part as well: where clients may hold only so many connections, those that ask once and
 //! keep theirs would leave none for others.
 
@@ -28,7 +28,7 @@
 }
 
 impl Rank {
-    /// One that came to its seat more lately may be about to send.
+    /// One that came to its slot more lately may be about to send.
     const fn least(self) -> Duration {
         match self {
             Self::Parting | Self::Silent => Duration::from_millis(5),
@@ -39,9 +39,9 @@
 
 type At = (Rank, Instant, u64);
 
-/// All seats.
+/// All slots.
 #[derive(Debug)]
-pub struct Seats {
+pub struct Slots {
     most: usize,
     /// For clients that are accepted only to be refused.
     spare: usize,
@@ -58,8 +58,8 @@
     started: Instant,
 }
 
-impl Seats {
-    /// So many seats, a few more for those that are refused, and so many for clients that have asked.
+impl Slots {
+    /// So many slots, a few more for those that are refused, and so many for clients that have asked.
     #[must_use]
     pub fn new(most: usize, spare: usize, most_known: usize) -> Self {
         Self {
@@ -134,24 +134,24 @@
         flag
     }
 
-    /// Takes a seat for a new client.
-    pub fn take(&self) -> Seat<'_> {
+    /// Takes a slot for a new client.
+    pub fn take(&self) -> Slot<'_> {
         self.number.set(self.number.get() + 1);
         self.taken.set(self.taken.get() + 1);
-        Seat { seats: self, number: self.number.get(), asked: Cell::new(false) }
+        Slot { slots: self, number: self.number.get(), asked: Cell::new(false) }
     }
 }
 
-/// A client's seat, given up when it is dropped.
+/// A client's slot, given up when it is dropped.
 #[derive(Debug)]
-pub struct Seat<'a> {
-    seats: &'a Seats,
+pub struct Slot<'a> {
+    slots: &'a Slots,
     number: u64,
-    /// Its client has been asked to go: the seat counts no longer.
+    /// Its client has been asked to go: the slot counts no longer.
     asked: Cell<bool>,
 }
 
-impl Seat<'_> {
+impl Slot<'_> {
     /// Its number; no two have the same.
     #[must_use]
     pub fn number(&self) -> u64 {
@@ -164,11 +164,11 @@
         // One that was asked to go and is still here, to close in order, holds its descriptor until it is asked again.
         self.stay();
         let (flag, at) = (Rc::new(Flag::default()), (rank, since, self.number));
-        self.seats.waiting.borrow_mut().insert(at, flag.clone());
+        self.slots.waiting.borrow_mut().insert(at, flag.clone());
         if rank == Rank::Silent {
-            self.seats.silent.set(self.seats.silent.get() + 1);
+            self.slots.silent.set(self.slots.silent.get() + 1);
         }
-        let wait = Wait { seat: self, at, flag };
+        let wait = Wait { slot: self, at, flag };
         let done = or(async { Some(work.await) }, async {
             wait.flag.raised().await;
             None
@@ -184,30 +184,30 @@
     /// Counts as taken after all, if its client was asked to go.
     fn stay(&self) {
         if self.asked.replace(false) {
-            self.seats.taken.set(self.seats.taken.get() + 1);
+            self.slots.taken.set(self.slots.taken.get() + 1);
         }
     }
 }
 
-impl Drop for Seat<'_> {
+impl Drop for Slot<'_> {
     fn drop(&mut self) {
         if !self.asked.get() {
-            self.seats.taken.set(self.seats.taken.get() - 1);
+            self.slots.taken.set(self.slots.taken.get() - 1);
         }
-        self.seats.freed.notify(1);
+        self.slots.freed.notify(1);
     }
 }
 
 /// A client that can be asked to go.
 struct Wait<'a> {
-    seat: &'a Seat<'a>,
+    slot: &'a Slot<'a>,
     at: At,
     flag: Rc<Flag>,
 }
 
 impl Drop for Wait<'_> {
     fn drop(&mut self) {
-        self.seat.seats.leave(self.at);
-        self.seat.asked.set(self.flag.is_up());
+        self.slot.slots.leave(self.at);
+        self.slot.asked.set(self.flag.is_up());
     }
 }
