Report what was given up before it was written as never run

Found by a test of a restart while a connection comes up: a read whose server welcomed nobody was answered 08007, "it may have been carried out", when the process had to end. Nothing of it had been written. The same wrong outcome stood for a write whose client left or cancelled during the dial: it was listed as in doubt.

At fault: `serve` in crates/net/src/request.rs, which called every attempt that it gave up `Cancelled`, an outcome that may have run. The carrier now tells when the last byte is written (`Sending`); what is given up before that ends as `Moot`, never sent, and is refused, so that its client may come again.

The test stands in crates/daemon/tests/crossings.rs with eight more that force a crossing: a client that leaves while a connection comes up or while a write waits for a primary, a connection that comes up after its request's time, an answer after its client left, a restart during a dial, idle clients while discovery is away, half a command before a close, and a command in single bytes.

--- /dev/null
+++ b/crates/daemon/tests/crossings.rs
@@ -0,0 +1,225 @@
+//! Moments in which something ends while something else is still owed, forced over loopback sockets.
+
+mod peers;
+
+use linnetdeal_net::pg::write;
+use peers::*;
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::sync::Mutex;
+use std::sync::mpsc::{Sender, channel};
+
+const NOW_MS: &str = "1767225600123";
+
+/// A server that answers everything with its own name, as this role.
+fn plain(id: &'static str, part: &'static str) -> Server {
+    gated(id, part, || {})
+}
+
+fn gated(id: &'static str, part: &'static str, door: impl Fn() + Send + Sync + 'static) -> Server {
+    Server::with_door(id, door, move |wire, statement| {
+        if statement.starts_with("SHOW") {
+            let role = u8::from(part == "master");
+            wire.row(format!("x0=1767225600.1,x1={role}").as_bytes(), part, NOW_MS);
+        } else {
+            wire.row(id.as_bytes(), part, NOW_MS);
+        }
+        true
+    })
+}
+
+/// A server that welcomes nobody until the sender is dropped: connections to it come up late.
+fn late(id: &'static str) -> (Sender<()>, Server) {
+    let (open, opened) = channel::<()>();
+    let opened = Mutex::new(opened);
+    (open, gated(id, "replica", move || assert!(opened.lock().unwrap().recv().is_err())))
+}
+
+/// Waits until the pooler has counted this; false if it never does.
+fn counted(pooler: &Pooler, what: &str) -> bool {
+    (0..5_000).any(|_| pooler.counters().contains(what))
+}
+
+#[test]
+fn who_leaves_while_a_connection_comes_up_is_not_sent_on() {
+    let (open, server) = late("s-1");
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
+    let mut client = Client::connect(&pooler);
+    client.send(&menu("1"));
+    assert!(counted(&pooler, " dials=1 "));
+    drop(client);
+    assert!(counted(&pooler, " gone=1 "));
+    drop(open);
+    // Served after it, on a connection of its own: by then the first has come up as well.
+    assert_eq!(Client::connect(&pooler).ask(&menu("2")).value.as_deref(), Some(&b"s-1"[..]));
+    assert!(server.got().iter().all(|statement| statement.contains("id=2,")), "{:?}", server.got());
+}
+
+#[test]
+fn who_leaves_while_a_write_waits_for_a_primary_is_not_sent_on() {
+    let replica = Server::new("s-1", |wire, statement| {
+        if statement.starts_with("SHOW") {
+            wire.row(b"x0=1767225600.1,x1=0", "replica", NOW_MS);
+        } else {
+            wire.error("25006", "replica");
+        }
+        true
+    });
+    let primary = plain("s-2", "master");
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![replica.entry("up", "replica")]);
+    let (_, watch) = discovery.watch();
+    let mut client = Client::connect(&pooler);
+    client.send(&top_up("1"));
+    assert!(counted(&pooler, " outcome.miss=1"));
+    drop(client);
+    assert!(counted(&pooler, " gone=1 "));
+    watch.send(Some(list(42, false, vec![primary.entry("up", "master")]))).unwrap();
+    assert_eq!(Client::connect(&pooler).ask(&top_up("2")).value.as_deref(), Some(&b"s-2"[..]));
+    assert_eq!(primary.got().len(), 1, "only what is still asked: {:?}", primary.got());
+}
+
+#[test]
+fn a_connection_that_comes_up_after_the_time_of_its_request_carries_nothing() {
+    let (open, server) = late("s-1");
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
+    let mut client = Client::connect(&pooler);
+    for (id, statement, code) in [("1", menu("1"), "53300"), ("2", top_up("2"), "53300")] {
+        let answer = client.ask(&statement.replace("d=8000", "d=200"));
+        // Nothing was written: it is harmless to come again, but not when the time to say so is over.
+        let codes = [code, "08007"];
+        assert!(answer.code.as_deref().is_some_and(|code| codes.contains(&code)), "{id}: {answer:?}");
+    }
+    drop(open);
+    assert_eq!(client.ask(&menu("3")).value.as_deref(), Some(&b"s-1"[..]));
+    assert!(server.got().iter().all(|statement| statement.contains("id=3,")), "{:?}", server.got());
+}
+
+#[test]
+fn an_answer_that_comes_after_its_client_has_left_is_nobody_elses() {
+    let (open, opened) = channel::<()>();
+    let opened = Mutex::new(opened);
+    let server = Server::new("s-1", move |wire, statement| {
+        if statement.contains("id=1,") {
+            assert!(opened.lock().unwrap().recv().is_err());
+            wire.row(b"the first", "replica", NOW_MS);
+        } else {
+            wire.row(b"the second", "replica", NOW_MS);
+        }
+        true
+    });
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
+    let mut client = Client::connect(&pooler);
+    client.send(&menu("1"));
+    while server.got().is_empty() {
+        std::thread::yield_now();
+    }
+    drop(client);
+    assert!(counted(&pooler, " gone=1 "));
+    drop(open);
+    let mut next = Client::connect(&pooler);
+    for id in ["2", "3", "4"] {
+        assert_eq!(next.ask(&menu(id)).value.as_deref(), Some(&b"the second"[..]));
+    }
+}
+
+#[test]
+fn a_restart_while_a_connection_comes_up_leaves_no_request_without_its_answer() {
+    let (open, server) = late("s-1");
+    let discovery = Discovery::new();
+    let mut pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
+    let mut client = Client::connect(&pooler);
+    client.send(&menu("1"));
+    assert!(counted(&pooler, " dials=1 "));
+    pooler.signal("TERM");
+    pooler.logged("draining");
+    drop(open);
+    assert_eq!(client.answer().value.as_deref(), Some(&b"s-1"[..]));
+    assert!(client.0.message().is_none() && !client.0.reset);
+    drop(client);
+    assert!(pooler.child.wait().unwrap().success());
+}
+
+#[test]
+fn a_restart_that_can_not_wait_refuses_what_never_ran() {
+    let (open, server) = late("s-1");
+    let discovery = Discovery::new();
+    let mut pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
+    let mut client = Client::connect(&pooler);
+    client.send(&menu("1"));
+    assert!(counted(&pooler, " dials=1 "));
+    pooler.signal("TERM");
+    // Its server comes up too late: it is answered before the process is killed, and may come again elsewhere.
+    assert_eq!(client.answer().code.as_deref(), Some("53300"));
+    assert!(client.0.message().is_none() && !client.0.reset);
+    drop(client);
+    assert!(pooler.child.wait().unwrap().success());
+    drop(open);
+    assert!(server.got().is_empty());
+}
+
+#[test]
+fn idle_clients_keep_neither_discovery_nor_servers_from_being_reached() {
+    let server = plain("s-1", "replica");
+    let discovery = Discovery::new();
+    let pooler = Pooler::within(&discovery, Vec::new(), 48);
+    let (_, watch) = discovery.watch();
+    // As many as it takes in, and more; each has asked something, and stays.
+    let mut idle = Vec::new();
+    for _ in 0..60 {
+        let mut client = Client::dial(&pooler, b"Q\0\0\0\x05\0");
+        client.answer();
+        idle.push(client);
+    }
+    watch.send(None).unwrap();
+    let (_, watch) = discovery.watch();
+    watch.send(Some(list(42, true, vec![server.entry("up", "replica")]))).unwrap();
+    let served = (0..200).any(|at| {
+        let mut client = Client::dial(&pooler, b"");
+        client.answer().tags.ends_with('Z') && client.ask(&menu(&at.to_string())).value.is_some()
+    });
+    assert!(served);
+}
+
+#[test]
+fn half_a_command_at_the_end_of_a_connection_is_no_request() {
+    let server = plain("s-1", "replica");
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
+    let mut client = Client::connect(&pooler);
+    let mut bytes = Vec::new();
+    write::query(&mut bytes, &menu("1"));
+    let whole = bytes.len();
+    write::query(&mut bytes, &menu("2"));
+    client.0.put(&bytes[..whole + 20]);
+    assert_eq!(client.answer().value.as_deref(), Some(&b"s-1"[..]), "the whole one is answered");
+    client.0.stream.shutdown(Shutdown::Write).unwrap();
+    assert!(client.0.message().is_none() && !client.0.reset);
+    assert_eq!(server.got().len(), 1);
+}
+
+#[test]
+fn a_command_in_the_smallest_pieces_is_one_request() {
+    let server = plain("s-1", "replica");
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
+    let stream = TcpStream::connect(pooler.address).unwrap();
+    stream.set_nodelay(true).unwrap();
+    let mut bytes = Vec::new();
+    write::startup(&mut bytes, "backend", "store");
+    write::query(&mut bytes, &menu("1"));
+    for byte in &bytes {
+        (&stream).write_all(&[*byte]).unwrap();
+    }
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let (mut read, mut more) = (Vec::new(), [0; 1_024]);
+    while !read.windows(3).any(|three| three == b"s-1") {
+        let count = (&stream).read(&mut more).unwrap();
+        assert!(count > 0, "the answer comes");
+        read.extend_from_slice(&more[..count]);
+    }
+    assert_eq!(server.got().len(), 1);
+}
--- a/crates/net/src/request.rs
+++ b/crates/net/src/request.rs
@@ -5,6 +5,7 @@
 use crate::config::duration;
 use futures_lite::future::or;
 use linnetdeal_core::*;
+use std::cell::Cell;
 use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
@@ -18,17 +19,24 @@
     type Reply;
 
     /// Makes one attempt and waits no longer than `wait` for its end. Nothing below this may send it again.
-    /// When the future ends or is dropped, nothing of the attempt is out any more. Nothing is written that is not
-    /// `still_fit` when its connection is there.
+    /// When the future ends or is dropped, nothing of the attempt is out any more.
     fn attempt(
         &self,
         member: &MemberId,
         query: &Self::Query,
         wait: Duration,
-        still_fit: &dyn Fn() -> bool,
+        sending: &Sending<'_>,
     ) -> impl Future<Output = Ended<Self::Reply>>;
 }
 
+/// What an attempt asks before it is written, and tells once it is.
+pub struct Sending<'a> {
+    /// Whether it may still be written when its connection is there.
+    pub still_fit: &'a dyn Fn() -> bool,
+    /// All of it is written: it may run.
+    pub sent: Cell<bool>,
+}
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub struct Ended<R> {
@@ -145,20 +153,23 @@
         // Sent: an answer that is there goes before the module's recall, and both before the client's leaving.
         driver.counters.sent.add();
         let sent = driver.clock.now();
+        let still_fit = || driver.still_fit(ticket.id(), &member);
+        let sending = Sending { still_fit: &still_fit, sent: Cell::new(false) };
         let turn = {
-            let still_fit = || driver.still_fit(ticket.id(), &member);
-            let attempt = carrier.attempt(&member, &asked.query, duration(wait), &still_fit);
+            let attempt = carrier.attempt(&member, &asked.query, duration(wait), &sending);
             let attempt = async { Turn::Ended(attempt.await) };
             let recall = async { Turn::Ordered(ticket.order().await) };
             let left = async { Turn::Cut(cut.as_mut().await) };
             or(attempt, or(recall, left)).await
         };
 
-        // The attempt is over, with its connection if it was given up; only now is the module told.
+        // The attempt is over, with its connection if it was given up; only now is the module told. What was given
+        // up before all of it was written never ran.
+        let given_up = if sending.sent.get() { Verdict::Cancelled } else { Verdict::Moot };
         let (ended, after) = match turn {
             Turn::Ended(ended) => (ended, None),
-            Turn::Ordered(order) => (Ended::without_answer(Verdict::Cancelled), Some(Ok(order))),
-            Turn::Cut(why) => (Ended::without_answer(Verdict::Cancelled), Some(Err(why))),
+            Turn::Ordered(order) => (Ended::without_answer(given_up), Some(Ok(order))),
+            Turn::Cut(why) => (Ended::without_answer(given_up), Some(Err(why))),
         };
         let Ended { verdict, note, report, reply } = ended;
         if !verdict.never_ran() {
--- a/crates/net/src/upstream.rs
+++ b/crates/net/src/upstream.rs
@@ -4,7 +4,7 @@
 use super::counters::Counters;
 use super::members::Members;
 use super::pg::{self, Code, Notes, Part, PgError};
-use super::request::{Carrier, Ended};
+use super::request::{Carrier, Ended, Sending};
 use crate::config::HostSettings;
 use async_io::{Async, Timer};
 use event_listener::Event;
@@ -201,8 +201,8 @@
 enum Query<'q> {
     /// For its load report.
     Report,
-    /// A client's statement, and whether it may still be written.
-    Statement(&'q Statement, &'q dyn Fn() -> bool),
+    /// A client's statement.
+    Statement(&'q Statement, &'q Sending<'q>),
 }
 
 impl Query<'_> {
@@ -393,13 +393,16 @@
             return Err(Lost::Withdrawn);
         }
         // Nor does a read whose data there has grown too old by now.
-        if matches!(query, Query::Statement(_, still_fit) if !still_fit()) {
+        if matches!(query, Query::Statement(_, sending) if !(sending.still_fit)()) {
             self.put_back(member, connection);
             return Err(Lost::Withdrawn);
         }
         stage.set(Stage::Writing);
         query.write(&connection.stream, until.saturating_duration_since(Instant::now())).await?;
         stage.set(Stage::Sent);
+        if let Query::Statement(_, sending) = query {
+            sending.sent.set(true);
+        }
         let exchange = read_answer(&connection.stream, &mut connection.buffer).await?;
         Ok((connection, exchange))
     }
@@ -459,9 +462,9 @@
         member: &MemberId,
         query: &Statement,
         wait: Duration,
-        still_fit: &dyn Fn() -> bool,
+        sending: &Sending<'_>,
     ) -> Ended<Reply> {
-        match self.within(wait, member, Query::Statement(query, still_fit)).await {
+        match self.within(wait, member, Query::Statement(query, sending)).await {
             Err(verdict) => Ended::without_answer(verdict),
             Ok((mut connection, exchange)) => {
                 let Exchange { verdict, notes, pieces, size, ready, .. } = exchange;
