Forget a group that nobody is listed in with its last request

Found by review of what a bad client may leave behind: a request names its group, and one that no list knows was kept for ever, with its counts, once a request had been held for it. A client that counts them up makes memory grow without bound.

At fault: `Router::place`, which makes the group, and `Router::drop_open` in crates/core/src/choice.rs, which left it.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -175,9 +175,7 @@
 
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
-        if self.wake.is_some_and(|at| now - at > STALL) {
-            self.stalled = now;
-        }
+        self.stalled = if self.wake.is_some_and(|at| now - at > STALL) { now } else { self.stalled };
         self.wake = self.wake.filter(|at| now < *at);
         match event {
             Event::List(listing) => self.list(now, listing),
@@ -215,10 +213,7 @@
         let (entries, full) = match listing {
             Listing::Full(entries) => (entries, true),
             Listing::Changes(entries) => (entries, false),
-            Listing::Failed => {
-                self.ask_at = Some(now + ASK_AGAIN);
-                return;
-            }
+            Listing::Failed => return self.ask_at = Some(now + ASK_AGAIN),
             Listing::Forgotten(members) => return self.forget(&members),
         };
         // Many routers may start together, and each knows only its own part.
@@ -470,8 +465,12 @@
     fn drop_open(&mut self, id: RequestId, actions: &mut Vec<Action>) -> Option<Open> {
         let open = self.open.remove(&id)?;
         self.due.remove(&(open.due, id));
+        // A group that nobody is listed in lasts no longer than what is asked of it.
         if let Some(group) = self.groups.get_mut(&open.group) {
             group.held.remove(&(open.arrived, id));
+            if group.members.is_empty() && group.held.is_empty() {
+                self.groups.remove(&open.group);
+            }
         }
         let out =
             open.attempts.iter().enumerate().filter(|(_, attempt)| attempt.open && self.settings.cancels);
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -776,3 +776,24 @@
     let (write, _) = host.ask(UNSAFE);
     assert!(host.router.still_fit(host.now, write, &member(3)), "a write needs no position");
 }
+
+#[test]
+fn groups_that_nobody_is_listed_in_leave_nothing_behind() {
+    let mut host = with_primary(settings());
+    for at in 0..1_000 {
+        let request = Request {
+            id: RequestId(1_000_000 + at),
+            class: [READ, UNSAFE][at as usize % 2],
+            tenant: None,
+            session: None,
+            left: Span::millis(200),
+            group: GroupId(770_000 + at as i64),
+            last_write: None,
+            cost: None,
+        };
+        host.tell(Event::Request(request));
+    }
+    host.pass(400);
+    assert!(!format!("{:?}", host.router).contains("GroupId(770"), "forgotten with the last of its requests");
+    assert_eq!(sends(&host.ask(UNSAFE).1), [member(1)], "and the others are still known");
+}
