Turn down settings that can't be: negative, endless, doubled, or too few descriptors

Found by starting on configurations with one value changed. A pooler with three descriptors, a fleet of -5, negative deadlines and limits, a dial limit of 1e300 ms and two classes of one name all started and served as though nothing were wrong (with three descriptors, nobody).

At fault: `Pairs::number` in crates/core/src/settings.rs, which took any finite number, and `Config::decode` in crates/net/src/config.rs. Amounts must now lie between 0 and 1e15, names of classes differ, and descriptors be 24 at least. `FamilyInfo.Zero` stays any number.

--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -5,6 +5,9 @@
 use serde_json::Value;
 use std::collections::BTreeMap;
 
+/// No setting counts or measures more: as a time, over thirty thousand years.
+const MOST: f64 = 1e15;
+
 /// What was read, or in words why it could not be.
 pub type Parsed<T> = Result<T, String>;
 
@@ -87,13 +90,27 @@
         if f64::is_finite(value) { Ok(value) } else { Err(format!("setting {key} is not finite")) }
     }
 
-    /// The number at `key`, or `absent` where there is none.
+    /// The number at `key`, which can't be negative, nor so large that it is none.
+    ///
+    /// # Errors
+    ///
+    /// When there is none, or it is out of range.
+    pub fn amount(&self, key: &str) -> Parsed<f64> {
+        let value = self.number(key)?;
+        if (0.0..=MOST).contains(&value) {
+            Ok(value)
+        } else {
+            Err(format!("setting {key}: {value} is out of range"))
+        }
+    }
+
+    /// The amount at `key`, or `absent` where there is none.
     ///
     /// # Errors
     ///
-    /// When it is no finite number.
-    pub fn number_or(&self, key: &str, absent: f64) -> Parsed<f64> {
-        if self.0.contains_key(key) { self.number(key) } else { Ok(absent) }
+    /// When it is no amount.
+    pub fn amount_or(&self, key: &str, absent: f64) -> Parsed<f64> {
+        if self.0.contains_key(key) { self.amount(key) } else { Ok(absent) }
     }
 
     fn flag(&self, key: &str) -> Parsed<bool> {
@@ -114,7 +131,7 @@
     let needs: Vec<&str> = keys.text("FamilyInfo.NeedsByClass")?.split(',').collect();
     let bounds: Vec<&str> = keys.text("FamilyInfo.OldestData")?.split(',').collect();
     let mut classes = Vec::new();
-    for at in 0..keys.number("Lanes.count")? as usize {
+    for at in 0..keys.amount("Lanes.count")? as usize {
         let lane = |name: &str| format!("Lanes.{at}.{name}");
         let need = match *needs.get(at).ok_or("FamilyInfo.NeedsByClass is too short")? {
             "mutate" => Need::Write,
@@ -134,28 +151,32 @@
             "fragile" => Effect::Unsafe,
             other => return Err(format!("unknown {key} '{other}'")),
         };
+        let name = keys.text(&lane("Name"))?.to_owned();
+        if classes.iter().any(|class: &Class| class.name == name) {
+            return Err(format!("two classes are named '{name}'"));
+        }
         classes.push(Class {
-            name: keys.text(&lane("Name"))?.to_owned(),
+            name,
             effect,
             need,
-            aim: span(keys.number(&lane("Objective"))?),
-            aim_stretch: keys.number_or(&lane("AimStretch"), 0.0)?,
-            worth: keys.number(&lane("Worth"))?,
-            late_worth: keys.number(&lane("LateValue"))?,
+            aim: span(keys.amount(&lane("Objective"))?),
+            aim_stretch: keys.amount_or(&lane("AimStretch"), 0.0)?,
+            worth: keys.amount(&lane("Worth"))?,
+            late_worth: keys.amount(&lane("LateValue"))?,
         });
     }
     let mut tenants = Vec::new();
-    for at in 0..keys.number_or("Tenants.count", 0.0)? as usize {
+    for at in 0..keys.amount_or("Tenants.count", 0.0)? as usize {
         tenants.push(Tenant {
             name: keys.text(&format!("Tenants.{at}.Name"))?.to_owned(),
-            quota: keys.number(&format!("Tenants.{at}.QuotaRps"))?,
+            quota: keys.amount(&format!("Tenants.{at}.QuotaRps"))?,
         });
     }
     let fields = keys.text("Report.Fields").unwrap_or("").split(',').map(Field::named);
     Ok(Settings {
         classes,
         tenants,
-        fleet: keys.number("FleetSize")?.max(1.0) as u32,
+        fleet: keys.amount("FleetSize")?.max(1.0) as u32,
         zone: keys.text("Zone")?.to_owned(),
         discovery: match keys.text("Discovery")? {
             "push" => Discovery::Push,
@@ -174,23 +195,23 @@
         },
         zero: Time(span(keys.number("FamilyInfo.Zero")?).0),
         report: fields.collect(),
-        max_attempts: keys.number("Limits.SendCap")? as u32,
+        max_attempts: keys.amount("Limits.SendCap")? as u32,
         second_copies: keys.flag("Limits.MayDuplicate")?,
         probes: keys.flag("Limits.Probing")?,
-        probe_price: keys.number_or("Costs.Probe", 0.0)?.max(0.0),
+        probe_price: keys.amount_or("Costs.Probe", 0.0)?.max(0.0),
         cancels: keys.flag("Limits.Cancel")?,
         retry_after: keys.flag("Limits.RetryAfter")?,
-        max_retry_after: span(keys.number_or("Limits.MaxRetryAfter", 0.0)?),
-        drain_grace: span(keys.number("Rules.DrainGrace")?),
+        max_retry_after: span(keys.amount_or("Limits.MaxRetryAfter", 0.0)?),
+        drain_grace: span(keys.amount("Rules.DrainGrace")?),
         soft_removal: keys.flag("Rules.SoftRemoval").unwrap_or(false),
-        cold_share: keys.number("Rules.ColdFrom")?,
-        cold_span: span(keys.number("Rules.Cold")?),
-        fall_multiple: keys.number("Rules.FallMultiple")?,
-        fall_span: span(keys.number("Rules.Fall")?),
-        over_share_worth: keys.number_or("OverShareWorth", 1.0)?,
+        cold_share: keys.amount("Rules.ColdFrom")?,
+        cold_span: span(keys.amount("Rules.Cold")?),
+        fall_multiple: keys.amount("Rules.FallMultiple")?,
+        fall_span: span(keys.amount("Rules.Fall")?),
+        over_share_worth: keys.amount_or("OverShareWorth", 1.0)?,
         goal: Goal {
-            whole: keys.number_or("ObjectiveMix.Whole", 0.0)?,
-            worst_class: keys.number_or("ObjectiveMix.WorstClass", 0.0)?,
+            whole: keys.amount_or("ObjectiveMix.Whole", 0.0)?,
+            worst_class: keys.amount_or("ObjectiveMix.WorstClass", 0.0)?,
         },
     })
 }
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -4,7 +4,7 @@
 use linnetdeal_net::pg::write;
 use peers::*;
 use serde_json::Value;
-use std::io::{Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::{Sender, channel};
@@ -815,3 +815,35 @@
         assert!(error.contains(word), "{error}");
     }
 }
+
+#[test]
+fn a_setting_that_can_not_be_ends_the_start_with_one_line_that_names_it() {
+    let discovery = Discovery::new();
+    let whole: Value = serde_json::from_str(&config(&discovery, Vec::new(), 1_024)).unwrap();
+    for (place, value, word) in [
+        ("/limits/sockets", Value::from(3), "limits.sockets"),
+        ("/settings/FleetSize", (-5).into(), "FleetSize"),
+        ("/settings/Lanes/0/Deadline", (-1.0).into(), "Lanes.0.Deadline"),
+        ("/settings/Lanes/1/Objective", 1e300.into(), "Lanes.1.Objective"),
+        ("/settings/Lanes/1/Name", "bundle-menu".into(), "two classes are named 'bundle-menu'"),
+        ("/settings/Limits/SendCap", (-3).into(), "Limits.SendCap"),
+        ("/settings/Limits/Keepalive", (-1).into(), "Limits.Keepalive"),
+        ("/settings/Limits/DialTimeout", 1e300.into(), "Limits.DialTimeout"),
+        ("/settings/Rules/Cold", (-100.0).into(), "Rules.Cold"),
+    ] {
+        let mut bad = whole.clone();
+        *bad.pointer_mut(place).unwrap() = value;
+        let (mut child, file) = start(&bad.to_string());
+        // One that starts after all says where it listens, and would not end.
+        let mut line = String::new();
+        BufReader::new(child.stderr.take().unwrap()).read_line(&mut line).unwrap();
+        let started = line.contains("listening");
+        if started {
+            child.kill().unwrap();
+        }
+        let status = child.wait().unwrap();
+        std::fs::remove_file(file).unwrap();
+        assert!(!started && line.contains(word), "{place}: {line}");
+        assert_eq!(status.code(), Some(78), "{place}");
+    }
+}
--- a/crates/net/src/config.rs
+++ b/crates/net/src/config.rs
@@ -11,6 +11,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// The descriptors that a pooler needs for itself, and for a few clients and servers.
+const LEAST_SOCKETS: usize = 24;
+
 /// Why the configuration can't be used.
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
@@ -36,6 +39,9 @@
     /// The settings lack something.
     #[error("configuration: {0}")]
     Settings(String),
+    /// Fewer descriptors than a pooler needs.
+    #[error("configuration: limits.sockets is {0}, and at least {LEAST_SOCKETS} are needed")]
+    Sockets(usize),
     /// The seed is no hexadecimal number.
     #[error("configuration: seed '{0}' is no hexadecimal number")]
     Seed(String),
@@ -148,15 +154,18 @@
             }
         };
         let File { name, listen, discovery, limits, known, .. } = file;
+        if limits.sockets < LEAST_SOCKETS {
+            return Err(ConfigError::Sockets(limits.sockets));
+        }
         Ok(Self { name, listen, discovery, seed, sockets: limits.sockets, known, settings, host })
     }
 }
 
 impl HostSettings {
     fn decode(pairs: &Pairs) -> Result<Self, String> {
-        let time = |key: &str, absent| Ok::<_, String>(duration(span(pairs.number_or(key, absent)?)));
+        let time = |key: &str, absent| Ok::<_, String>(duration(span(pairs.amount_or(key, absent)?)));
         let mut longest_deadline = Duration::ZERO;
-        for at in 0..pairs.number("Lanes.count")? as usize {
+        for at in 0..pairs.amount("Lanes.count")? as usize {
             longest_deadline = longest_deadline.max(time(&format!("Lanes.{at}.Deadline"), 1_000.0)?);
         }
         let names = pairs.text("Report.Fields").unwrap_or("").split(',').filter(|name| !name.is_empty());
