--- a/crates/daemon/tests/crossings.rs
+++ b/crates/daemon/tests/crossings.rs
@@ -9,30 +9,11 @@
 use std::sync::Mutex;
 use std::sync::mpsc::{Sender, channel};
 
-const NOW_MS: &str = "1767225600123";
-
-/// A server that answers everything with its own name, as this role.
-fn plain(id: &'static str, part: &'static str) -> Server {
-    gated(id, part, || {})
-}
-
-fn gated(id: &'static str, part: &'static str, door: impl Fn() + Send + Sync + 'static) -> Server {
-    Server::with_door(id, door, move |wire, statement| {
-        if statement.starts_with("SHOW") {
-            let role = u8::from(part == "master");
-            wire.row(format!("x0=1767225600.1,x1={role}").as_bytes(), part, NOW_MS);
-        } else {
-            wire.row(id.as_bytes(), part, NOW_MS);
-        }
-        true
-    })
-}
-
 /// A server that welcomes nobody until the sender is dropped: connections to it come up late.
 fn late(id: &'static str) -> (Sender<()>, Server) {
     let (open, opened) = channel::<()>();
     let opened = Mutex::new(opened);
-    (open, gated(id, "replica", move || assert!(opened.lock().unwrap().recv().is_err())))
+    (open, plain_behind(id, "replica", move || assert!(opened.lock().unwrap().recv().is_err())))
 }
 
 /// Waits until the pooler has counted this; false if it never does.
@@ -126,16 +107,23 @@
     }
 }
 
-#[test]
-fn a_restart_while_a_connection_comes_up_leaves_no_request_without_its_answer() {
+/// A pooler that was told to end while it opens a connection for a client's request; its server is let in by the
+/// sender.
+fn ending_in_a_dial() -> (Sender<()>, Server, Pooler, Client) {
     let (open, server) = late("s-1");
     let discovery = Discovery::new();
-    let mut pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
+    let pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
     let mut client = Client::connect(&pooler);
     client.send(&menu("1"));
     assert!(counted(&pooler, " dials=1 "));
     pooler.signal("TERM");
     pooler.logged("draining");
+    (open, server, pooler, client)
+}
+
+#[test]
+fn a_restart_while_a_connection_comes_up_leaves_no_request_without_its_answer() {
+    let (open, _server, mut pooler, mut client) = ending_in_a_dial();
     drop(open);
     assert_eq!(client.answer().value.as_deref(), Some(&b"s-1"[..]));
     assert!(client.0.message().is_none() && !client.0.reset);
@@ -145,13 +133,7 @@
 
 #[test]
 fn a_restart_that_can_not_wait_refuses_what_never_ran() {
-    let (open, server) = late("s-1");
-    let discovery = Discovery::new();
-    let mut pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
-    let mut client = Client::connect(&pooler);
-    client.send(&menu("1"));
-    assert!(counted(&pooler, " dials=1 "));
-    pooler.signal("TERM");
+    let (open, server, mut pooler, mut client) = ending_in_a_dial();
     // Its server comes up too late: it is answered before the process is killed, and may come again elsewhere.
     assert_eq!(client.answer().code.as_deref(), Some("53300"));
     assert!(client.0.message().is_none() && !client.0.reset);
--- a/crates/daemon/tests/peers/mod.rs
+++ b/crates/daemon/tests/peers/mod.rs
@@ -205,6 +205,27 @@
     }
 }
 
+/// The position that servers tell, where none matters.
+pub const NOW_MS: &str = "1767225600123";
+
+/// A server that answers everything with its own name, as this role.
+pub fn plain(id: &'static str, part: &'static str) -> Server {
+    plain_behind(id, part, || {})
+}
+
+/// The same behind a door.
+pub fn plain_behind(id: &'static str, part: &'static str, door: impl Fn() + Send + Sync + 'static) -> Server {
+    Server::with_door(id, door, move |wire, statement| {
+        if statement.starts_with("SHOW") {
+            let role = u8::from(part == "master");
+            wire.row(format!("x0=1767225600.1,x1={role}").as_bytes(), part, NOW_MS);
+        } else {
+            wire.row(id.as_bytes(), part, NOW_MS);
+        }
+        true
+    })
+}
+
 /// Discovery: each watch is announced by its request line, and then sends the lines given until told to end.
 pub struct Discovery {
     pub address: SocketAddr,
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -11,21 +11,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::{SystemTime, UNIX_EPOCH};
 
-const NOW_MS: &str = "1767225600123";
-
-/// A server that answers everything with its own name.
-fn plain(id: &'static str, part: &'static str) -> Server {
-    Server::new(id, move |wire, statement| {
-        if statement.starts_with("SHOW") {
-            let role = u8::from(part == "master");
-            wire.row(format!("x0=1767225600.1,x1={role}").as_bytes(), part, NOW_MS);
-        } else {
-            wire.row(id.as_bytes(), part, NOW_MS);
-        }
-        true
-    })
-}
-
 /// A server that answers once the sender is dropped.
 fn held(id: &'static str) -> (Sender<()>, Server) {
     let (open, opened) = channel::<()>();
