Repeat calls that a signal interrupted

Cause: EINTR of a read or write was taken for the end of the connection, at clients (closed unanswered), at members (a write in doubt, failed) and at the registry. Change: a stream that repeats such calls, under all of them; an interrupted peek says nothing; a connect that was interrupted or got EAGAIN is this machine's matter and is tried again.

--- a/crates/net/src/buffer.rs
+++ b/crates/net/src/buffer.rs
@@ -124,7 +124,12 @@
 ///
 /// When reading fails.
 pub async fn discard(stream: &Async<TcpStream>, scratch: &RefCell<Vec<u8>>) -> io::Result<usize> {
-    stream.read_with(|mut stream| stream.read(&mut scratch.borrow_mut())).await
+    loop {
+        match stream.read_with(|mut stream| stream.read(&mut scratch.borrow_mut())).await {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            done => return done,
+        }
+    }
 }
 
 /// Writes all pieces, one after another, in as few calls as the system allows.
--- a/crates/net/src/upstream.rs
+++ b/crates/net/src/upstream.rs
@@ -100,7 +100,7 @@
     /// unread.
     fn usable(&self, address: Option<SocketAddr>, longest: Duration) -> bool {
         let silent = match self.stream.get_ref().peek(&mut [0]) {
-            Err(error) => error.kind() == io::ErrorKind::WouldBlock,
+            Err(error) => matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
             Ok(_) => false,
         };
         silent
@@ -351,6 +351,8 @@
         let stream = Async::<TcpStream>::connect(address).await.map_err(|error| match error.kind() {
             io::ErrorKind::ConnectionReset => Lost::Broken,
             io::ErrorKind::ConnectionRefused => Lost::Down,
+            // Not begun, for a moment: neither says anything of the member.
+            io::ErrorKind::Interrupted | io::ErrorKind::WouldBlock => Lost::Short,
             _ if shortage(&error) => Lost::Short,
             _ => Lost::Silent,
         })?;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -14,7 +14,12 @@
 
 /// Makes a call until it was not interrupted.
 fn resume<T>(mut call: impl FnMut() -> Poll<io::Result<T>>) -> Poll<io::Result<T>> {
-    call()
+    loop {
+        match call() {
+            Poll::Ready(Err(error)) if error.kind() == io::ErrorKind::Interrupted => {}
+            done => return done,
+        }
+    }
 }
 
 impl<S: AsyncRead + Unpin> AsyncRead for Resuming<S> {
