--- a/crates/net/src/signals.rs
+++ b/crates/net/src/signals.rs
@@ -29,6 +29,8 @@
 /// The time in which those last answers are written.
 const FLUSH: Duration = Duration::from_millis(150);
 const LOOK: Duration = Duration::from_millis(10);
+/// The pause after an error of receiving signals, which must not spin should it last.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(1);
 
 /// What signals act on.
 pub(crate) struct Handler {
@@ -48,6 +50,27 @@
     pub(crate) longest_deadline: Duration,
 }
 
+/// What a signal asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Drain, and end.
+    End,
+    /// Read the configuration again.
+    Reload,
+    /// Print the counters.
+    Report,
+}
+
+/// What a received signal asks for; an error of receiving asks for nothing.
+#[must_use]
+pub fn command(received: &io::Result<Signal>) -> Option<Command> {
+    match received {
+        Ok(Signal::Usr1) => Some(Command::Report),
+        Ok(Signal::Hup) => Some(Command::Reload),
+        _ => Some(Command::End),
+    }
+}
+
 /// Handles signals until the pooler has drained.
 ///
 /// # Errors
@@ -58,15 +81,16 @@
     let listener = handler.clone();
     let task = async move {
         let mut draining = false;
-        while let Some(signal) = signals.next().await {
-            match signal {
-                Ok(Signal::Usr1) => listener.shown.log(),
-                Ok(Signal::Hup) => reload(&listener),
-                _ if std::mem::replace(&mut draining, true) => {}
-                _ => {
+        while let Some(received) = signals.next().await {
+            match command(&received) {
+                Some(Command::Report) => listener.shown.log(),
+                Some(Command::Reload) => reload(&listener),
+                Some(Command::End) if std::mem::replace(&mut draining, true) => {}
+                Some(Command::End) => {
                     let handler = listener.clone();
                     listener.executor.spawn(async move { drain(&handler).await }).detach();
                 }
+                None => drop(Timer::after(RECEIVE_PAUSE).await),
             }
         }
     };
