Let no error of receiving a signal end the pooler

Cause: the arm for SIGTERM also took errors, so that an interrupted read of the signal pipe began a drain. Change: an error asks for nothing, and the next is waited for.

--- a/crates/net/src/signals.rs
+++ b/crates/net/src/signals.rs
@@ -67,7 +67,8 @@
     match received {
         Ok(Signal::Usr1) => Some(Command::Report),
         Ok(Signal::Hup) => Some(Command::Reload),
-        _ => Some(Command::End),
+        Ok(_) => Some(Command::End),
+        Err(_) => None,
     }
 }
 
