Keep what signals ask for in flags, so that a failing pipe loses none

Cause, seen with strace under the preload library (EINTR on one call in 3): the handler's write to the signal pipe fails and the signal is gone; of 5 SIGHUPs 1 to 4 were handled. Change: handlers raise flags, which are looked at when the pipe tells and every 0.1 s; draining and reloading stand in modules of their own, unchanged.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -14,7 +14,9 @@
 pub mod members;
 pub mod pg;
 pub mod probes;
+mod reload;
 pub mod request;
+pub mod shutdown;
 pub mod signals;
 pub mod slots;
 pub mod upstream;
@@ -28,6 +30,8 @@
 use life::Life;
 use linnetdeal_core::Router;
 use members::{Feed, Members};
+use reload::Reloader;
+use shutdown::Shutdown;
 use slots::Slots;
 use std::cell::{Cell, RefCell};
 use std::fmt::Display;
@@ -89,15 +93,11 @@
         let slots = Rc::new(slots);
         let doubts = Rc::new(Doubts::default());
         shown.add(doubts.clone());
-        let handler = signals::Handler {
-            executor: executor.clone(),
-            life: life.clone(),
-            slots: slots.clone(),
-            shown: shown.clone(),
-            source: source.clone(),
-            config_file,
-            longest_deadline,
-        };
+        let reloader =
+            Rc::new(Reloader { file: config_file, source: source.clone(), counters: counters.clone() });
+        let shutdown = Shutdown { life: life.clone(), slots: slots.clone(), longest_deadline };
+        let handler =
+            signals::Handler { executor: executor.clone(), shown: shown.clone(), reloader, shutdown };
         let frontend = frontend::Frontend {
             executor: executor.clone(),
             driver: driver.clone(),
@@ -120,7 +120,7 @@
         let listener =
             frontend::listen(config.listen).map_err(|error| RunError::Listen(config.listen, error))?;
         let listening = listener.get_ref().local_addr().unwrap_or(config.listen);
-        signals::listen(&Rc::new(handler)).map_err(RunError::Signals)?;
+        signals::listen(handler).map_err(RunError::Signals)?;
         let (a, b) = (driver.clone(), pool.clone());
         executor.spawn(async move { a.run_wakes().await }).detach();
         executor.spawn(async move { b.run_upkeep().await }).detach();
