Try again at a start what the system does not give for a moment

Cause: one failing socket call, an address still held by the process before, or an unreadable file ended a start at once.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -108,7 +108,7 @@
         None => Operator::default(),
         Some(path) => Operator::load(path).map_err(End::config)?,
     };
-    let config = Config::load(&path).map_err(End::config)?;
+    let config = Config::load_at_start(&path).map_err(End::config)?;
     logging::start(&operator.log);
     let (name, seed) = (config.name.clone(), config.seed);
     let pooler = Pooler::new(config, path).map_err(End::other)?;
--- a/crates/net/src/config.rs
+++ b/crates/net/src/config.rs
@@ -1,6 +1,7 @@
 //! What the daemon is told: its configuration and the lists of discovery, decoded into plain types.
 //! Keys that mean nothing here are ignored.
 
+use crate::startup::retried;
 use linnetdeal_core::membership::{Claim, Evidence, News};
 use linnetdeal_core::settings::{Pairs, span};
 use linnetdeal_core::*;
@@ -124,8 +125,20 @@
     ///
     /// When it can't be read or decoded.
     pub fn load(path: &Path) -> Result<Self, ConfigError> {
-        let text = std::fs::read_to_string(path)
-            .map_err(|error| ConfigError::Read { path: path.display().to_string(), error })?;
+        Self::read(path, std::fs::read_to_string(path))
+    }
+
+    /// The same for a start, which waits while the file can't be read for a moment.
+    ///
+    /// # Errors
+    ///
+    /// When it can't be read or decoded.
+    pub fn load_at_start(path: &Path) -> Result<Self, ConfigError> {
+        Self::read(path, retried(|| std::fs::read_to_string(path)))
+    }
+
+    fn read(path: &Path, text: std::io::Result<String>) -> Result<Self, ConfigError> {
+        let text = text.map_err(|error| ConfigError::Read { path: path.display().to_string(), error })?;
         let inside = |error| ConfigError::In { path: path.display().to_string(), error: Box::new(error) };
         Self::decode(&text).map_err(inside)
     }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod shutdown;
 pub mod signals;
 pub mod slots;
+pub mod startup;
 pub mod upstream;
 
 use crate::config::Config;
@@ -117,8 +118,8 @@
         // The list last held comes first: a pooler serves from it while discovery is down.
         let follower = Follower::new(source, feed.clone(), counters);
         follower.take(&config.known, true);
-        let listener =
-            frontend::listen(config.listen).map_err(|error| RunError::Listen(config.listen, error))?;
+        let listener = startup::retried(|| frontend::listen(config.listen))
+            .map_err(|error| RunError::Listen(config.listen, error))?;
         let listening = listener.get_ref().local_addr().unwrap_or(config.listen);
         signals::listen(handler).map_err(RunError::Signals)?;
         let (a, b) = (driver.clone(), pool.clone());
--- a/crates/net/src/signals.rs
+++ b/crates/net/src/signals.rs
@@ -3,6 +3,7 @@
 use crate::counters::Shown;
 use crate::reload::Reloader;
 use crate::shutdown::Shutdown;
+use crate::startup::retried;
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
@@ -88,7 +89,7 @@
 pub(crate) fn listen(handler: Handler) -> io::Result<()> {
     // The flags come first: whatever the pipe tells is raised by then.
     let requests = Requests::register()?;
-    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup, Signal::Usr1])?;
+    let signals = retried(|| Signals::new([Signal::Term, Signal::Int, Signal::Hup, Signal::Usr1]))?;
     let executor = handler.executor.clone();
     executor.spawn(run(handler, requests, signals)).detach();
     Ok(())
