Show that a restart with short deadlines leaves answers unwritten

With a longest deadline under 0.35 s the end of accepting falls behind the last answers, and the process ends in the moment in which it tells its tasks to answer: for 300 ms, ending and ended both at 0.75 s, connections reset under requests. Both red, listed.

--- a/crates/daemon/tests/crossings.rs
+++ b/crates/daemon/tests/crossings.rs
@@ -205,3 +205,44 @@
     }
     assert_eq!(server.got().len(), 1);
 }
+
+#[test]
+fn a_restart_answers_what_was_taken_however_short_the_deadlines_are() {
+    for deadline in [100, 300] {
+        let (open, server) = late("s-1");
+        let discovery = Discovery::new();
+        let mut text: serde_json::Value =
+            serde_json::from_str(&config(&discovery, vec![server.entry("up", "replica")], 1_024)).unwrap();
+        for class in text["settings"]["Lanes"].as_array_mut().unwrap() {
+            class["Deadline"] = deadline.into();
+        }
+        let mut pooler = Pooler::on(&text.to_string());
+        let mut clients: Vec<_> = (0..20).map(|_| Client::connect(&pooler)).collect();
+        pooler.signal("TERM");
+        pooler.logged("draining");
+        // They go on asking for as long as their connections are open; whatever they are answered is an answer.
+        let askers: Vec<_> = clients
+            .drain(..)
+            .enumerate()
+            .map(|(at, mut client)| {
+                std::thread::spawn(move || {
+                    let mut unanswered = 0;
+                    for turn in 0.. {
+                        client.send(&menu(&format!("{at}-{turn}")));
+                        let answer = client.answer();
+                        if answer.tags.is_empty() {
+                            // Shut between two requests is no loss, a reset is one.
+                            unanswered += usize::from(client.0.reset);
+                            break;
+                        }
+                    }
+                    unanswered
+                })
+            })
+            .collect();
+        let unanswered: usize = askers.into_iter().map(|asker| asker.join().unwrap()).sum();
+        assert!(pooler.child.wait().unwrap().success());
+        drop(open);
+        assert_eq!(unanswered, 0, "with deadlines of {deadline} ms");
+    }
+}
--- /dev/null
+++ b/crates/net/tests/shutdown.rs
@@ -0,0 +1,21 @@
+//! The stages of a planned end, for every deadline that clients may have.
+
+use linnetdeal_net::shutdown::Schedule;
+use std::time::Duration;
+
+/// New connections keep coming for so long after SIGTERM.
+const ARRIVALS: Duration = Duration::from_millis(400);
+/// A pooler may be held up for so long, and last answers have to be written.
+const HELD_UP: Duration = Duration::from_millis(150);
+
+#[test]
+fn the_stages_of_an_end_follow_each_other_and_leave_time_for_the_last_answers() {
+    for ms in (0..5_000).step_by(10) {
+        let deadline = Duration::from_millis(ms);
+        let Schedule { closing, deaf, ending, ended } = Schedule::new(deadline);
+        assert!(ARRIVALS <= closing, "{ms}: who still comes is served");
+        assert!(closing <= deaf && deaf <= ending, "{ms}: {closing:?} {deaf:?} {ending:?}");
+        assert!(ending + HELD_UP <= ended, "{ms}: last answers from {ending:?} to {ended:?}");
+        assert!(ended <= Schedule::earliest_kill(deadline), "{ms}: {ended:?}");
+    }
+}
