Keep time for last answers however short the deadlines are

Cause: the end of accepting was fixed at 0.75 s after SIGTERM and pushed the last answers past the end of the process where the longest deadline is under 0.35 s. Change: the stages are computed back from the earliest SIGKILL, each within the next.

--- a/crates/net/src/shutdown.rs
+++ b/crates/net/src/shutdown.rs
@@ -19,6 +19,8 @@
 const KILL_GRACE: Duration = Duration::from_millis(700);
 /// What is still open so long before SIGKILL is answered at once.
 const MARGIN: Duration = Duration::from_millis(400);
+/// Short deadlines leave no more than this between the end of the process and SIGKILL.
+const LEAST_MARGIN: Duration = Duration::from_millis(50);
 /// The time in which those last answers are written.
 const FLUSH: Duration = Duration::from_millis(150);
 const LOOK: Duration = Duration::from_millis(10);
@@ -40,11 +42,12 @@
     /// The schedule of a pooler whose clients wait no longer than this.
     #[must_use]
     pub fn new(longest_deadline: Duration) -> Self {
-        let last = longest_deadline.min(LONGEST_COUNTED) + KILL_GRACE - MARGIN;
-        let closing = last.saturating_sub(PARTING).max(ARRIVALS);
-        let deaf = closing + STRAGGLERS;
-        let ending = last.max(deaf);
-        Self { closing, deaf, ending, ended: last + FLUSH }
+        let kill = Self::earliest_kill(longest_deadline);
+        // Accepting goes before the margin, the last answers before accepting.
+        let ending = (kill - MARGIN).max(ARRIVALS).min(kill - FLUSH - LEAST_MARGIN);
+        let closing = ending.saturating_sub(PARTING).max(ARRIVALS).min(ending);
+        let deaf = (closing + STRAGGLERS).min(ending);
+        Self { closing, deaf, ending, ended: ending + FLUSH }
     }
 
     /// The earliest SIGKILL.
