End the connection of a client that asks on and on once the process ends

Cause: what was readable went before the end, so that a client that asks again as soon as it is answered was read from until the process ended under its request; and what stood behind others was begun and called off. Change: once the process ends nothing more is read between two commands, and commands that were read are refused at once.

--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -398,7 +398,12 @@
                 }
                 Command::Request(asked, open) => {
                     self.stage = Stage::Known;
-                    if !self.request(asked, &open.id, &mut out).await? {
+                    // There is no time left to serve what stood behind others until now.
+                    if self.frontend.life.ending.is_up() {
+                        self.frontend.counters.taken.add();
+                        self.frontend.counters.refused.add();
+                        self.answer(Final::Refused(None), &mut out).await?;
+                    } else if !self.request(asked, &open.id, &mut out).await? {
                         return Ok(());
                     }
                     drop(open);
@@ -420,6 +425,10 @@
     async fn more(&mut self) -> Result<bool, ClientError> {
         let Self { frontend, stream, buffer, slot, stage, since, .. } = self;
         let between = buffer.data().is_empty() && *stage != Stage::Startup;
+        // Who asks again as soon as it is answered would otherwise go on until the process ends under its request.
+        if between && frontend.life.ending.is_up() {
+            return Ok(false);
+        }
         buffer.rest();
         // The first bytes of a command that has begun came just now; they don't grant more time again.
         let limit = match *stage {
