Show requests begun for clients that have left

An attempt whose connection comes up in the same turn in which its client's close is read, as after the process was held up, is written all the same. And behind more than 256 KB sent ahead (16 KB, for all but 16 clients) a close is not seen: of 20 clients with 600 KB ahead that closed, none was noticed in 9 s.

--- a/crates/daemon/tests/crossings.rs
+++ b/crates/daemon/tests/crossings.rs
@@ -246,3 +246,39 @@
         assert_eq!(unanswered, 0, "with deadlines of {deadline} ms");
     }
 }
+
+/// So many bytes of requests that a client sends ahead: more than any buffer here reads.
+const FAR_AHEAD: usize = 600 * 1024;
+
+#[test]
+fn a_client_that_sends_more_ahead_than_is_read_and_closes_has_gone() {
+    let (open, opened) = channel::<()>();
+    let opened = Mutex::new(opened);
+    let server = Server::new("s-1", move |wire, _| {
+        assert!(opened.lock().unwrap().recv().is_err());
+        wire.row(b"s-1", "replica", NOW_MS);
+        true
+    });
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
+    // More of them than may be read far ahead.
+    let mut clients: Vec<_> = (0..20).map(|_| Client::connect(&pooler)).collect();
+    for (at, client) in clients.iter_mut().enumerate() {
+        let mut ahead = Vec::new();
+        for turn in 0.. {
+            write::query(&mut ahead, &menu(&format!("{at}-{turn}")));
+            if ahead.len() > FAR_AHEAD {
+                break;
+            }
+        }
+        client.0.put(&ahead);
+    }
+    assert!(counted(&pooler, " taken=20 "));
+    drop(clients);
+    assert!(counted(&pooler, " gone=20 "), "all are noticed while their first requests are out");
+    drop(open);
+    assert_eq!(Client::connect(&pooler).ask(&menu("last")).value.as_deref(), Some(&b"s-1"[..]));
+    let later: Vec<_> =
+        server.got().into_iter().filter(|of| !of.contains("-0,") && !of.contains("last")).collect();
+    assert_eq!(later, [""; 0], "nothing is begun for who has gone");
+}
--- /dev/null
+++ b/crates/net/tests/request.rs
@@ -0,0 +1,86 @@
+//! What becomes of a request whose client leaves in the moment in which an attempt could be written.
+
+use futures_lite::future::{block_on, poll_fn, poll_once};
+use linnetdeal_core::*;
+use linnetdeal_net::counters::Counters;
+use linnetdeal_net::driver::Driver;
+use linnetdeal_net::request::{Asked, Carrier, Cut, Ended, Final, Sending, serve};
+use std::cell::Cell;
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::Poll;
+use std::time::Duration;
+
+/// A carrier whose connection comes up at the second look, and which writes at once then.
+#[derive(Default)]
+struct SecondLook {
+    looks: Cell<u32>,
+    written: Cell<bool>,
+}
+
+impl Carrier for SecondLook {
+    type Query = ();
+    type Reply = ();
+
+    async fn attempt(&self, _: &MemberId, _: &(), _: Duration, sending: &Sending<'_>) -> Ended<()> {
+        poll_fn(|_| {
+            self.looks.set(self.looks.get() + 1);
+            if self.looks.get() < 2 {
+                return Poll::Pending;
+            }
+            sending.sent.set(true);
+            self.written.set(true);
+            Poll::Pending
+        })
+        .await
+    }
+}
+
+fn driver() -> Rc<Driver> {
+    let class = Class {
+        name: "any".into(),
+        effect: Effect::Safe,
+        need: Need::Any,
+        aim: Span::millis(500),
+        aim_stretch: 0.0,
+        worth: 1.0,
+        late_worth: 0.0,
+    };
+    let settings = Settings { classes: vec![class], max_attempts: 4, ..Settings::default() };
+    let (probes, _) = async_channel::unbounded();
+    let driver = Driver::new(Router::new(1, settings), Rc::new(Counters::default()), probes);
+    driver.feed(Event::List(Listing::Full(vec![Entry {
+        member: MemberId(Arc::from("s-1")),
+        group: GroupId(0),
+        state: ListState::Healthy,
+        primary: false,
+        started: None,
+        zone: String::new(),
+    }])));
+    Rc::new(driver)
+}
+
+#[test]
+fn nothing_is_written_once_the_client_is_known_to_have_left() {
+    block_on(async {
+        let (driver, carrier, left) = (driver(), SecondLook::default(), Cell::new(false));
+        let asked = Asked {
+            class: ClassId(0),
+            session: None,
+            group: GroupId(0),
+            deadline: driver.clock.now() + Span::millis(1_000),
+            last_write: None,
+            query: (),
+        };
+        let cut = poll_fn(|_| if left.get() { Poll::Ready(Cut::ClientLeft) } else { Poll::Pending });
+        let mut serving = pin!(serve(&driver, &carrier, &asked, cut));
+        assert!(poll_once(serving.as_mut()).await.is_none());
+        assert_eq!(carrier.looks.get(), 1, "its connection is being opened");
+        // Both are there by the next look, as after the process was held up.
+        left.set(true);
+        let answer = poll_once(serving.as_mut()).await;
+        assert!(matches!(answer, Some(Final::Gone)), "{answer:?}");
+        assert!(!carrier.written.get(), "nothing is begun for who has gone");
+    });
+}
