Let a client's leaving go before an attempt that is not yet written

Cause: the attempt was polled first, so that one whose connection came up in the turn in which the close was read was written, up to the length of a hold-up after the close. Change: until all of it is written the client's leaving and the module's orders go before the attempt; after that the answer goes first, as before.

--- a/crates/net/src/request.rs
+++ b/crates/net/src/request.rs
@@ -3,12 +3,13 @@
 
 use super::driver::{Driver, Order};
 use crate::config::duration;
-use futures_lite::future::or;
+use futures_lite::future::{or, poll_fn};
 use linnetdeal_core::*;
 use std::cell::Cell;
 use std::future::Future;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 /// What takes an attempt to a member.
@@ -150,17 +151,13 @@
             }
         };
 
-        // Sent: an answer that is there goes before the module's recall, and both before the client's leaving.
         driver.counters.sent.add();
         let sent = driver.clock.now();
         let still_fit = || driver.still_fit(ticket.id(), &member);
         let sending = Sending { still_fit: &still_fit, sent: Cell::new(false) };
         let turn = {
             let attempt = carrier.attempt(&member, &asked.query, duration(wait), &sending);
-            let attempt = async { Turn::Ended(attempt.await) };
-            let recall = async { Turn::Ordered(ticket.order().await) };
-            let left = async { Turn::Cut(cut.as_mut().await) };
-            or(attempt, or(recall, left)).await
+            attend(attempt, ticket.order(), cut.as_mut(), &sending.sent).await
         };
 
         // The attempt is over, with its connection if it was given up; only now is the module told. What was given
@@ -205,6 +202,37 @@
     }
 }
 
+/// Waits for the end of an attempt, for an order of the module, or for what ends the request without it. Until the
+/// attempt is written the last goes first: nothing is begun for a client that has gone. Once it is written, an answer
+/// that is there goes before the module's recall, and both before the client's leaving.
+async fn attend<R>(
+    attempt: impl Future<Output = Ended<R>>,
+    order: impl Future<Output = Order>,
+    mut cut: Pin<&mut impl Future<Output = Cut>>,
+    sent: &Cell<bool>,
+) -> Turn<R> {
+    let (mut attempt, mut order) = (pin!(attempt), pin!(order));
+    poll_fn(|context| {
+        if !sent.get() {
+            if let Poll::Ready(why) = cut.as_mut().poll(context) {
+                return Poll::Ready(Turn::Cut(why));
+            }
+            if let Poll::Ready(order) = order.as_mut().poll(context) {
+                return Poll::Ready(Turn::Ordered(order));
+            }
+            return attempt.as_mut().poll(context).map(Turn::Ended);
+        }
+        if let Poll::Ready(ended) = attempt.as_mut().poll(context) {
+            return Poll::Ready(Turn::Ended(ended));
+        }
+        if let Poll::Ready(order) = order.as_mut().poll(context) {
+            return Poll::Ready(Turn::Ordered(order));
+        }
+        cut.as_mut().poll(context).map(Turn::Cut)
+    })
+    .await
+}
+
 fn refused<R>(driver: &Driver, retry_after: Option<Span>) -> Final<R> {
     driver.counters.refused.add();
     Final::Refused(retry_after)
