Pass over what a client sends far ahead, so that its close is seen

Cause: reading stopped at 256 KB (16 KB for all but 16 clients), and a close that stands behind unread bytes is not even known to this machine, as the client's own system holds them back. What was read was begun for clients that had left. Change: beyond the bound commands are told apart by their heads and kept only as a count, which is refused in its turn.

--- a/crates/daemon/tests/crossings.rs
+++ b/crates/daemon/tests/crossings.rs
@@ -282,3 +282,37 @@
         server.got().into_iter().filter(|of| !of.contains("-0,") && !of.contains("last")).collect();
     assert_eq!(later, [""; 0], "nothing is begun for who has gone");
 }
+
+#[test]
+fn every_command_of_a_client_far_ahead_is_answered_in_its_turn() {
+    let server = Server::new("s-1", |wire, statement| {
+        let id = statement.split("id=").nth(1).and_then(|rest| rest.split(',').next()).unwrap();
+        wire.row(id.as_bytes(), "replica", NOW_MS);
+        true
+    });
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
+    let mut client = Client::connect(&pooler);
+    let mut ahead = Vec::new();
+    let mut count = 0;
+    while ahead.len() <= FAR_AHEAD {
+        write::query(&mut ahead, &menu(&count.to_string()));
+        count += 1;
+    }
+    let stream = client.0.stream.try_clone().unwrap();
+    let writer = std::thread::spawn(move || (&stream).write_all(&ahead).unwrap());
+    let mut served = 0;
+    for turn in 0..count {
+        let answer = client.answer();
+        if let Some(value) = &answer.value {
+            assert_eq!(value, turn.to_string().as_bytes(), "in order");
+            served += 1;
+        } else {
+            assert_eq!(answer.code.as_deref(), Some("53300"), "{turn}: {answer:?}");
+        }
+    }
+    writer.join().unwrap();
+    assert!(served > 0);
+    // And it goes on as before.
+    assert_eq!(client.ask(&menu("last")).value.as_deref(), Some(&b"last"[..]));
+}
--- a/crates/net/src/buffer.rs
+++ b/crates/net/src/buffer.rs
@@ -45,6 +45,21 @@
         }
     }
 
+    /// Forgets all but the first `count` bytes, as if they had not been read.
+    pub fn truncate(&mut self, count: usize) {
+        self.to = self.to.min(self.from + count);
+        let end = self.used + self.to - self.from;
+        while self.arrivals.len() > 1 && self.arrivals[self.arrivals.len() - 2].0 >= end {
+            self.arrivals.pop_back();
+        }
+        if let Some(last) = self.arrivals.back_mut() {
+            last.0 = last.0.min(end);
+        }
+        if self.from == self.to {
+            (self.from, self.to) = (0, 0);
+        }
+    }
+
     fn use_up(&mut self, count: usize) {
         self.used += count;
         while self.arrivals.front().is_some_and(|(end, _)| *end <= self.used) {
--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -3,6 +3,7 @@
 use super::buffer::{ReadBuffer, discard, write_all};
 use super::pg::write::{self, Severity};
 use super::pg::{self, Asks, BackendKey, PgError, Startup};
+use super::read_ahead::{PassedOver, ReadAhead, Shared};
 use super::request::{Asked, Cut, Final, serve};
 use super::slots::{Rank, Slot, Slots};
 use super::upstream::{Pool, Reply, Statement};
@@ -15,7 +16,7 @@
 use event_listener::Event as Bell;
 use futures_lite::future::{or, yield_now};
 use linnetdeal_core::*;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::hash::{BuildHasher, DefaultHasher, Hash, Hasher, RandomState};
 use std::io;
@@ -40,11 +41,8 @@
 /// same thing, sent again as soon as it was turned away, would keep others waiting.
 const REST: Duration = Duration::from_millis(50);
 const MOST_ERRORS: u32 = 8;
-/// What a client may send ahead while its request is out, and what a few at a time may: who closes behind more
-/// than is read goes unnoticed until then.
-const AHEAD: usize = 16 * 1024;
-const FAR_AHEAD: usize = 256 * 1024;
-const MOST_FAR_AHEAD: usize = 16;
+/// Refusals of commands that were passed over are written so many at a time.
+const REFUSALS: usize = 64;
 
 /// Opens the listening socket.
 ///
@@ -79,12 +77,10 @@
     pub(crate) longest_deadline: Duration,
     /// The clients' ids of the requests that are open: at most one a connection.
     pub(crate) open_ids: RefCell<HashSet<Box<str>>>,
-    /// Where bytes are read to that nobody wants.
-    pub(crate) scratch: RefCell<Vec<u8>>,
     /// Who can be asked to cancel.
     pub(crate) sessions: Sessions,
-    /// How many clients are far ahead.
-    pub(crate) far_ahead: Cell<usize>,
+    /// What clients that send ahead share.
+    pub(crate) ahead: Rc<Shared>,
 }
 
 /// The sessions that are open, by their keys.
@@ -186,7 +182,7 @@
             since: Instant::now(),
             errors: 0,
             closed: false,
-            far: None,
+            ahead: ReadAhead::new(owner.ahead.clone()),
         };
         // What went wrong on one client's connection concerns nobody else: it is closed.
         let _ = client.run(room).await;
@@ -229,27 +225,8 @@
     errors: u32,
     /// Nothing more is sent to it.
     closed: bool,
-    /// It may send far ahead.
-    far: Option<FarAhead>,
-}
-
-/// The right of one client to have more read ahead than others.
-struct FarAhead(Rc<Frontend>);
-
-impl FarAhead {
-    fn enter(frontend: &Rc<Frontend>) -> Option<Self> {
-        let now = frontend.far_ahead.get();
-        (now < MOST_FAR_AHEAD).then(|| {
-            frontend.far_ahead.set(now + 1);
-            Self(frontend.clone())
-        })
-    }
-}
-
-impl Drop for FarAhead {
-    fn drop(&mut self) {
-        self.0.far_ahead.set(self.0.far_ahead.get() - 1);
-    }
+    /// What it has sent ahead.
+    ahead: ReadAhead,
 }
 
 /// What a command comes down to.
@@ -301,7 +278,7 @@
         self.buffer = ReadBuffer::default();
         let rest = async {
             // One that sends at full speed holds up nobody else.
-            while matches!(discard(&self.stream, &self.frontend.scratch).await, Ok(1..)) {
+            while matches!(discard(&self.stream, &self.frontend.ahead.scratch).await, Ok(1..)) {
                 yield_now().await;
             }
         };
@@ -356,8 +333,12 @@
         let mut out = Vec::new();
         loop {
             let Some(message) = pg::message(self.buffer.data())? else {
-                if !self.more().await? {
-                    return Ok(());
+                match self.ahead.next() {
+                    PassedOver::None | PassedOver::Begun if !self.more().await? => return Ok(()),
+                    PassedOver::None | PassedOver::Begun => {}
+                    PassedOver::Refuse(count) => self.refuse_passed_over(count).await?,
+                    PassedOver::Ended => return Ok(()),
+                    PassedOver::Spoilt(error) => return Err(error.into()),
                 }
                 continue;
             };
@@ -420,11 +401,26 @@
         }
     }
 
+    /// Refuses so many commands that were passed over.
+    async fn refuse_passed_over(&self, mut count: usize) -> Result<(), ClientError> {
+        while count > 0 {
+            let mut out = Vec::new();
+            for _ in 0..count.min(REFUSALS) {
+                self.frontend.counters.rejected.add();
+                write::error(&mut out, Severity::Error, "53300", "too many commands sent ahead", None);
+                write::ready(&mut out);
+            }
+            self.send(&[&out]).await?;
+            count = count.saturating_sub(REFUSALS);
+        }
+        Ok(())
+    }
+
     /// Reads more; false if there will be none, or the client has to go: it makes room, took too long for a
     /// command, or the process ends. What is readable goes before all that.
     async fn more(&mut self) -> Result<bool, ClientError> {
-        let Self { frontend, stream, buffer, slot, stage, since, .. } = self;
-        let between = buffer.data().is_empty() && *stage != Stage::Startup;
+        let Self { frontend, stream, buffer, ahead, slot, stage, since, .. } = self;
+        let between = buffer.data().is_empty() && !ahead.is_passing_over() && *stage != Stage::Startup;
         // Who asks again as soon as it is answered would otherwise go on until the process ends under its request.
         if between && frontend.life.ending.is_up() {
             return Ok(false);
@@ -435,7 +431,13 @@
             Stage::Known if between => None,
             _ => Some(*since + COMMAND_WAIT),
         };
-        let read = async { Ok(buffer.fill(stream).await? > 0) };
+        let read = async {
+            if ahead.is_passing_over() {
+                Ok(ahead.pass_over(stream).await)
+            } else {
+                Ok(buffer.fill(stream).await? > 0)
+            }
+        };
         let late = async {
             match limit {
                 Some(at) => drop(Timer::at(at).await),
@@ -505,11 +507,11 @@
         id: &str,
         out: &mut Vec<u8>,
     ) -> Result<bool, ClientError> {
-        let Self { frontend, stream, buffer, session, far, .. } = self;
+        let Self { frontend, stream, buffer, session, ahead, .. } = self;
         // Only what is asked now is cancelled, not what comes behind it.
         let cancelled = session.cancelled.listen();
         let left = async {
-            client_left(frontend, stream, buffer, far).await;
+            ahead.until_closed(stream, buffer).await;
             Cut::ClientLeft
         };
         let cancelled = async {
@@ -530,9 +532,7 @@
             frontend.doubts.add(id, class, Some(at.clone()), frontend.driver.clock.now());
         }
         self.buffer.give_back(asked.query.bytes);
-        if self.buffer.data().len() < AHEAD {
-            self.far = None;
-        }
+        self.ahead.kept(self.buffer.data().len());
         self.answer(answer, out).await
     }
 
@@ -571,24 +571,6 @@
     }
 }
 
-/// Ends when the client has closed its connection. What it sends ahead is kept, within bounds.
-async fn client_left(
-    frontend: &Rc<Frontend>,
-    stream: &Async<TcpStream>,
-    buffer: &mut ReadBuffer,
-    far: &mut Option<FarAhead>,
-) {
-    while buffer.data().len() < if far.is_some() { FAR_AHEAD } else { AHEAD } {
-        if !matches!(buffer.fill(stream).await, Ok(1..)) {
-            return;
-        }
-        if far.is_none() && buffer.data().len() >= AHEAD {
-            *far = FarAhead::enter(frontend);
-        }
-    }
-    std::future::pending().await
-}
-
 /// The id of a request that is open, given free when it is dropped: nobody else may use it meanwhile.
 struct OpenId {
     frontend: Rc<Frontend>,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod members;
 pub mod pg;
 pub mod probes;
+mod read_ahead;
 mod reload;
 pub mod request;
 pub mod shutdown;
@@ -34,7 +35,7 @@
 use reload::Reloader;
 use shutdown::Shutdown;
 use slots::Slots;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::fmt::Display;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -110,9 +111,8 @@
             doubts,
             longest_deadline,
             open_ids: RefCell::default(),
-            scratch: RefCell::new(vec![0; SCRATCH]),
             sessions: frontend::Sessions::default(),
-            far_ahead: Cell::new(0),
+            ahead: Rc::new(read_ahead::Shared::new(SCRATCH)),
         };
 
         // The list last held comes first: a pooler serves from it while discovery is down.
--- a/crates/net/src/pg/mod.rs
+++ b/crates/net/src/pg/mod.rs
@@ -4,6 +4,7 @@
 mod backend;
 mod comment;
 mod frontend;
+mod skip;
 pub mod write;
 
 pub use backend::{
@@ -11,6 +12,7 @@
 };
 pub use comment::{Asks, Comment, key, request};
 pub use frontend::{BackendKey, Startup, query_text, startup};
+pub use skip::Skipper;
 
 /// The longest value.
 pub const LONGEST_VALUE: usize = 64 * 1024;
--- a/crates/net/tests/parsers.rs
+++ b/crates/net/tests/parsers.rs
@@ -32,6 +32,31 @@
         prop_assert_eq!(pg::message(&data), Ok(Some(pg::Message { tag, body: &body, size: data.len() })));
     }
 
+    #[test]
+    fn queries_are_passed_over_in_pieces_of_any_size(
+        sizes in prop::collection::vec(0_usize..300, 1..20),
+        piece in 1_usize..70,
+        rest in 0_usize..9,
+    ) {
+        let mut data = Vec::new();
+        for size in &sizes {
+            pg::write::query(&mut data, &"x".repeat(*size));
+        }
+        let mut begun = Vec::new();
+        pg::write::query(&mut begun, "something");
+        data.extend_from_slice(&begun[..rest]);
+        let mut skipper = pg::Skipper::default();
+        for bytes in data.chunks(piece) {
+            prop_assert_eq!(skipper.skip(bytes), Ok(()));
+        }
+        prop_assert_eq!(skipper.take_queries(), sizes.len());
+        prop_assert_eq!((skipper.is_between(), skipper.has_ended()), (rest == 0, false));
+        prop_assert_eq!(skipper.skip(&begun[rest..]), Ok(()));
+        prop_assert_eq!((skipper.take_queries(), skipper.is_between()), (1, true));
+        prop_assert!(skipper.clone().skip(b"P\0\0\0\x08").is_err(), "not a query");
+        prop_assert!(skipper.skip(b"Q\x7f\0\0\0").is_err(), "an impossible length");
+    }
+
     #[test]
     fn an_answer_is_one_value_or_one_error_and_nothing_else(tags in "[TDCESNZ]{1,7}") {
         let column = [&b"\0\x01content\0"[..], &[0; 18]].concat();
