--- a/crates/daemon/tests/crossings.rs
+++ b/crates/daemon/tests/crossings.rs
@@ -316,3 +316,73 @@
     // And it goes on as before.
     assert_eq!(client.ask(&menu("last")).value.as_deref(), Some(&b"last"[..]));
 }
+
+#[test]
+fn a_command_that_was_read_in_part_is_refused_when_its_connection_ends() {
+    let server = plain("s-1", "replica");
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
+    let mut half = Vec::new();
+    write::query(&mut half, &menu("half"));
+    half.truncate(half.len() / 2);
+    for asked_before in [false, true] {
+        let mut client = Client::connect(&pooler);
+        if asked_before {
+            assert_eq!(client.ask(&menu("1")).value.as_deref(), Some(&b"s-1"[..]));
+        }
+        client.0.put(&half);
+        let begun = std::time::Instant::now();
+        let answer = client.answer();
+        assert_eq!(answer.code.as_deref(), Some("57P03"), "{asked_before}: {answer:?}");
+        assert!(begun.elapsed().as_millis() < 3_000, "within the time that is owed");
+    }
+    assert!(server.got().iter().all(|statement| !statement.contains("half")));
+}
+
+/// A pooler of few descriptors, all of its clients' places taken by requests that are out; the sender has them answered.
+fn full_house(settings: impl FnOnce(&mut serde_json::Value)) -> (Sender<()>, Server, Pooler, Vec<Client>) {
+    let (open, server) = late("s-1");
+    let discovery = Discovery::new();
+    let mut text: serde_json::Value =
+        serde_json::from_str(&config(&discovery, vec![server.entry("up", "replica")], 48)).unwrap();
+    settings(&mut text["settings"]["Limits"]);
+    let pooler = Pooler::on(&text.to_string());
+    let mut clients = Vec::new();
+    for at in 1..=15 {
+        let mut client = Client::connect(&pooler);
+        client.send(&menu(&format!("busy-{at}")));
+        assert!(counted(&pooler, &format!(" taken={at} ")));
+        clients.push(client);
+    }
+    (open, server, pooler, clients)
+}
+
+#[test]
+fn who_comes_once_a_full_house_has_emptied_is_let_in() {
+    let (open, server, pooler, clients) = full_house(|_| {});
+    drop(open);
+    for mut client in clients {
+        assert!(client.answer().value.is_some());
+    }
+    let mut late = Client::dial(&pooler, b"");
+    let welcome = late.answer();
+    assert!(welcome.tags.ends_with('Z'), "{welcome:?}");
+    assert!(late.ask(&menu("late")).value.is_some());
+    drop(server);
+}
+
+#[test]
+fn who_finds_the_house_full_is_told_when_to_come_back_as_the_settings_allow() {
+    for (allowed, longest, detail) in
+        [(true, 2_000, Some("250")), (true, 100, Some("100")), (false, 2_000, None)]
+    {
+        let (open, _server, pooler, _clients) = full_house(|limits| {
+            limits["RetryAfter"] = allowed.into();
+            limits["MaxRetryAfter"] = longest.into();
+        });
+        let answer = Client::dial(&pooler, b"").answer();
+        assert_eq!(answer.code.as_deref(), Some("53300"));
+        assert_eq!(answer.detail.as_deref(), detail, "{allowed} {longest}");
+        drop(open);
+    }
+}
