Answer a command that was read in part before its connection ends

Cause: a client that took too long, had to make room or met the end of the process in the middle of a command was closed without a word, though the rest of the command may have been on its way. Change: reading tells who ended the connection, and where it was the pooler with a command begun the client gets 57P03.

--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -229,6 +229,24 @@
     ahead: ReadAhead,
 }
 
+/// Who ends a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EndedBy {
+    /// Its client, or nobody can say anything on it any more.
+    Client,
+    /// The pooler: it has to make room, its client took too long, or the process ends.
+    Pooler,
+}
+
+/// What became of reading more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum More {
+    /// Something came.
+    Bytes,
+    /// Nothing will.
+    Ended(EndedBy),
+}
+
 /// What a command comes down to.
 enum Command {
     /// A request to route.
@@ -245,19 +263,29 @@
     async fn run(&mut self, room: bool) -> Result<(), ClientError> {
         let ended = match self.begin(room).await {
             Ok(true) => self.commands().await,
-            other => other.map(drop),
+            other => other.map(|_| EndedBy::Client),
         };
         match ended {
             Err(ClientError::Pg(error)) => {
                 self.frontend.counters.rejected.add();
                 self.part("08P01", &error.to_string(), None).await
             }
+            // What was read of a command is owed a word, as the rest of it may be on its way.
+            Ok(EndedBy::Pooler) if self.has_begun_command() => {
+                self.frontend.counters.rejected.add();
+                self.part("57P03", "the connection ends before the command was read", None).await
+            }
             // Who has asked nothing yet has no answer to lose.
-            Ok(()) if self.stage == Stage::Known => self.close(CLOSING).await,
-            other => other,
+            Ok(_) if self.stage == Stage::Known => self.close(CLOSING).await,
+            other => other.map(drop),
         }
     }
 
+    /// Whether something of a command has been read that was not answered.
+    fn has_begun_command(&self) -> bool {
+        !self.buffer.data().is_empty() || self.ahead.is_passing_over()
+    }
+
     /// Sends the last words on a connection, and reads what the client is still writing: to close before that
     /// would reset the connection, and the words might be lost with it.
     async fn part(&mut self, code: &str, words: &str, detail: Option<&str>) -> Result<(), ClientError> {
@@ -311,7 +339,7 @@
                     }
                     Startup::Session => break,
                 }
-            } else if !self.more().await? {
+            } else if self.more().await? != More::Bytes {
                 return Ok(false);
             }
         }
@@ -328,16 +356,19 @@
         Ok(true)
     }
 
-    async fn commands(&mut self) -> Result<(), ClientError> {
+    async fn commands(&mut self) -> Result<EndedBy, ClientError> {
         let mut skipping = false;
         let mut out = Vec::new();
         loop {
             let Some(message) = pg::message(self.buffer.data())? else {
                 match self.ahead.next() {
-                    PassedOver::None | PassedOver::Begun if !self.more().await? => return Ok(()),
-                    PassedOver::None | PassedOver::Begun => {}
+                    PassedOver::None | PassedOver::Begun => {
+                        if let More::Ended(by) = self.more().await? {
+                            return Ok(by);
+                        }
+                    }
                     PassedOver::Refuse(count) => self.refuse_passed_over(count).await?,
-                    PassedOver::Ended => return Ok(()),
+                    PassedOver::Ended => return Ok(EndedBy::Client),
                     PassedOver::Spoilt(error) => return Err(error.into()),
                 }
                 continue;
@@ -350,7 +381,7 @@
             }
             out.clear();
             match self.command(size, &mut out)? {
-                Command::End => return Ok(()),
+                Command::End => return Ok(EndedBy::Client),
                 Command::Answered => {
                     skipping &= tag != b'S';
                     if matches!(tag, b'Q' | b'S') {
@@ -362,7 +393,8 @@
                     self.frontend.counters.rejected.add();
                     self.errors += 1;
                     if self.errors >= MOST_ERRORS {
-                        return self.part(code, &words, None).await;
+                        self.part(code, &words, None).await?;
+                        return Ok(EndedBy::Client);
                     }
                     write::error(&mut out, Severity::Error, code, &words, None);
                     skipping = tag != b'Q';
@@ -374,7 +406,7 @@
                         Timer::after(REST).await;
                     };
                     if self.slot.yielding(Rank::Silent, self.since, rest).await.is_none() {
-                        return Ok(());
+                        return Ok(EndedBy::Pooler);
                     }
                 }
                 Command::Request(asked, open) => {
@@ -385,7 +417,7 @@
                         self.frontend.counters.refused.add();
                         self.answer(Final::Refused(None), &mut out).await?;
                     } else if !self.request(asked, &open.id, &mut out).await? {
-                        return Ok(());
+                        return Ok(EndedBy::Client);
                     }
                     drop(open);
                 }
@@ -416,14 +448,14 @@
         Ok(())
     }
 
-    /// Reads more; false if there will be none, or the client has to go: it makes room, took too long for a
-    /// command, or the process ends. What is readable goes before all that.
-    async fn more(&mut self) -> Result<bool, ClientError> {
+    /// Reads more, unless the client has to go: it makes room, took too long for a command, or the process ends. What
+    /// is readable goes before all that.
+    async fn more(&mut self) -> Result<More, ClientError> {
         let Self { frontend, stream, buffer, ahead, slot, stage, since, .. } = self;
         let between = buffer.data().is_empty() && !ahead.is_passing_over() && *stage != Stage::Startup;
         // Who asks again as soon as it is answered would otherwise go on until the process ends under its request.
         if between && frontend.life.ending.is_up() {
-            return Ok(false);
+            return Ok(More::Ended(EndedBy::Pooler));
         }
         buffer.rest();
         // The first bytes of a command that has begun came just now; they don't grant more time again.
@@ -432,30 +464,31 @@
             _ => Some(*since + COMMAND_WAIT),
         };
         let read = async {
-            if ahead.is_passing_over() {
-                Ok(ahead.pass_over(stream).await)
+            let came = if ahead.is_passing_over() {
+                ahead.pass_over(stream).await
             } else {
-                Ok(buffer.fill(stream).await? > 0)
-            }
+                buffer.fill(stream).await? > 0
+            };
+            Ok(if came { More::Bytes } else { More::Ended(EndedBy::Client) })
         };
         let late = async {
             match limit {
                 Some(at) => drop(Timer::at(at).await),
                 None => std::future::pending().await,
             }
-            Ok(false)
+            Ok(More::Ended(EndedBy::Pooler))
         };
         let ending = async {
             let ends = if between { &frontend.life.closing } else { &frontend.life.ending };
             ends.raised().await;
-            Ok(false)
+            Ok(More::Ended(EndedBy::Pooler))
         };
         let rank = if *stage == Stage::Known { Rank::Idle } else { Rank::Silent };
         let done = slot.yielding(rank, *since, or(read, or(late, ending))).await;
         if between && *stage == Stage::Known {
             *since = Instant::now();
         }
-        done.unwrap_or(Ok(false))
+        done.unwrap_or(Ok(More::Ended(EndedBy::Pooler)))
     }
 
     /// Reads the command at the front of the buffer and uses it up.
@@ -545,7 +578,7 @@
                 self.send(&pieces).await?;
             }
             Final::Refused(retry_after) => {
-                let ms = retry_after.map(|after| after.0.max(0).unsigned_abs().div_ceil(1_000).to_string());
+                let ms = retry_after.map(retry_after_field);
                 write::error(
                     out,
                     Severity::Error,
@@ -571,6 +604,11 @@
     }
 }
 
+/// When to come back, as the field D of an error has it.
+fn retry_after_field(after: Span) -> String {
+    after.0.max(0).unsigned_abs().div_ceil(1_000).to_string()
+}
+
 /// The id of a request that is open, given free when it is dropped: nobody else may use it meanwhile.
 struct OpenId {
     frontend: Rc<Frontend>,
