Tell who finds no room to come back as the settings allow

Cause: a fixed 0.25 s, also where clients are told nothing, or heed less. Change: the setting and its longest value hold there too.

--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -79,6 +79,8 @@
     pub(crate) open_ids: RefCell<HashSet<Box<str>>>,
     /// Who can be asked to cancel.
     pub(crate) sessions: Sessions,
+    /// When a client comes back for which there was no room, where clients are told.
+    pub(crate) full_retry_after: Option<Span>,
     /// What clients that send ahead share.
     pub(crate) ahead: Rc<Shared>,
 }
@@ -351,7 +353,8 @@
         }
         if !room {
             self.frontend.counters.crowded_out.add();
-            self.part("53300", "too many clients", Some("250")).await?;
+            let retry_after = self.frontend.full_retry_after.map(retry_after_field);
+            self.part("53300", "too many clients", retry_after.as_deref()).await?;
             return Ok(false);
         }
         self.stage = Stage::Silent;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -30,7 +30,7 @@
 use doubts::Doubts;
 use driver::Driver;
 use life::Life;
-use linnetdeal_core::Router;
+use linnetdeal_core::{Router, Span};
 use members::{Feed, Members};
 use reload::Reloader;
 use shutdown::Shutdown;
@@ -46,6 +46,9 @@
 /// Bytes that nobody wants are read so many at a time.
 const SCRATCH: usize = 64 * 1024;
 
+/// When a client comes back for which there was no room: by then others have been answered.
+const FULL_RETRY_AFTER: Span = Span::millis(250);
+
 /// Why the daemon ended.
 #[derive(Debug, thiserror::Error)]
 pub enum RunError {
@@ -81,6 +84,8 @@
         let (probes, wanted) = async_channel::unbounded();
         let classes = config.settings.classes.iter().map(|class| (class.name.clone(), class.need)).collect();
         let pauses = Pauses::new(config.seed, config.settings.fleet, config.host.shared_discovery);
+        let full_retry_after =
+            config.settings.retry_after.then(|| FULL_RETRY_AFTER.min(config.settings.max_retry_after));
         let router = Router::new(config.seed, config.settings);
         let driver = Rc::new(Driver::new(router, counters.clone(), probes));
         let longest_deadline = config.host.longest_deadline;
@@ -112,6 +117,7 @@
             longest_deadline,
             open_ids: RefCell::default(),
             sessions: frontend::Sessions::default(),
+            full_retry_after,
             ahead: Rc::new(read_ahead::Shared::new(SCRATCH)),
         };
 
