--- a/crates/net/src/discovery.rs
+++ b/crates/net/src/discovery.rs
@@ -5,6 +5,7 @@
 use crate::config::ServerList;
 use crate::counters::Counters;
 use crate::members::{Feed, PLATFORM};
+use crate::upstream::shortage;
 use async_io::{Async, Timer};
 use event_listener::Event as Bell;
 use futures_lite::future::or;
@@ -52,6 +53,17 @@
     }
 }
 
+/// How a call for the watch ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallEnd {
+    /// Discovery refused it.
+    Refused,
+    /// It found nobody, or its watch broke or fell silent.
+    Broken,
+    /// This machine had no descriptor, port or memory for it.
+    NotMade,
+}
+
 /// The pauses between the tries to open a watch. What an agent of the pooler's own machine has counts as told, so a
 /// broken watch is opened again at once. One service for a whole fleet serves only so many calls a second, and goes on
 /// being swamped where all come back together, as calls that have waited too long are refused: there, and after any
@@ -72,10 +84,14 @@
         Self { rng: ChaCha8Rng::seed_from_u64(seed), spread, broken: if shared { spread } else { BROKEN } }
     }
 
-    /// The pause before the next try, after a call that was refused or a watch that broke.
-    pub fn next_pause(&mut self, refused: bool) -> Duration {
+    /// The pause before the next try.
+    pub fn next_pause(&mut self, ended: CallEnd) -> Duration {
         let part = f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
-        LEAST_PAUSE + if refused { self.spread } else { self.broken }.mul_f64(part)
+        let window = match ended {
+            CallEnd::Refused => self.spread,
+            CallEnd::Broken | CallEnd::NotMade => self.broken,
+        };
+        LEAST_PAUSE + window.mul_f64(part)
     }
 }
 
@@ -131,7 +147,11 @@
             Ok(())
         };
         let ended = or(watch(&node, address, &mut generation), left).await;
-        let refused = matches!(ended, Err(WatchError::Http(HttpError::Status(_))));
+        let call_end = match &ended {
+            Err(WatchError::Http(HttpError::Status(_))) => CallEnd::Refused,
+            Err(WatchError::Io(error)) if shortage(error) => CallEnd::NotMade,
+            _ => CallEnd::Broken,
+        };
         match ended {
             // A dropped watch is nothing to report; an answer that makes no sense is, once.
             Err(WatchError::Io(_)) | Ok(()) => {}
@@ -144,7 +164,7 @@
         if node.source.address.get() != followed {
             continue;
         }
-        let pause = pauses.next_pause(refused);
+        let pause = pauses.next_pause(call_end);
         let moved = node.source.moved.listen();
         if node.source.address.get() == followed {
             or(moved, async {
--- a/crates/net/tests/discovery.rs
+++ b/crates/net/tests/discovery.rs
@@ -1,6 +1,6 @@
 //! When a pooler asks for its watch again, and how it reads what comes on one.
 
-use linnetdeal_net::discovery::{Objects, ObjectsError, Pauses};
+use linnetdeal_net::discovery::{CallEnd, Objects, ObjectsError, Pauses};
 use std::time::Duration;
 
 /// How long discovery lets a call wait before it refuses it.
@@ -12,10 +12,10 @@
     let mut calls = vec![0; seconds];
     for seed in 0..u64::from(fleet) {
         let mut pauses = Pauses::new(seed, fleet, shared);
-        let mut at = pauses.next_pause(false);
+        let mut at = pauses.next_pause(CallEnd::Broken);
         while let Some(second) = calls.get_mut(at.as_secs() as usize) {
             *second += 1;
-            at += REFUSED_AFTER + pauses.next_pause(true);
+            at += REFUSED_AFTER + pauses.next_pause(CallEnd::Refused);
         }
     }
     calls
@@ -39,8 +39,8 @@
     // What the agent has binds after the grace of a drain: half a second here, a quarter at other sites.
     for fleet in [1, 100, 1_000] {
         let mut one = Pauses::new(2, fleet, false);
-        one.next_pause(true);
-        assert!((0..50).all(|_| one.next_pause(false) <= Duration::from_millis(80)));
+        one.next_pause(CallEnd::Refused);
+        assert!((0..50).all(|_| one.next_pause(CallEnd::Broken) <= Duration::from_millis(80)));
     }
 }
 
@@ -48,7 +48,10 @@
 fn whatever_call_failed_the_next_comes_within_six_seconds_of_a_change() {
     for (fleet, shared) in [(1, true), (100, false), (1_000, false), (1_000, true)] {
         let mut one = Pauses::new(3, fleet, shared);
-        let longest = (0..200).map(|at| one.next_pause(at % 2 == 0)).max().unwrap();
+        let longest = (0..200)
+            .map(|at| one.next_pause(if at % 2 == 0 { CallEnd::Refused } else { CallEnd::Broken }))
+            .max()
+            .unwrap();
         assert!(REFUSED_AFTER + longest <= Duration::from_millis(5_100), "{fleet} {shared}: {longest:?}");
     }
 }
@@ -85,3 +88,12 @@
     let endless = [&b"{\"instances\":\""[..], &vec![b'x'; 9 * 1024 * 1024]].concat();
     assert_eq!(objects(&endless, 64 * 1024), Err(ObjectsError::Endless));
 }
+
+#[test]
+fn a_call_that_never_left_this_machine_is_made_again_at_once() {
+    // Nothing reached the shared service: its window is for calls that it has to answer.
+    for (fleet, shared) in [(1, true), (1_000, true), (1_000, false)] {
+        let mut one = Pauses::new(4, fleet, shared);
+        assert!((0..50).all(|_| one.next_pause(CallEnd::NotMade) <= Duration::from_millis(80)));
+    }
+}
