Read a configuration again for a while when it can't be used

Cause: one read of the file decided; a file that was being replaced, or could not be opened for a moment, lost the SIGHUP for good. Change: it is read again for up to 3 s, with growing pauses, or until the next signal; the first failure is logged as before.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -100,8 +100,7 @@
         let slots = Rc::new(slots);
         let doubts = Rc::new(Doubts::default());
         shown.add(doubts.clone());
-        let reloader =
-            Rc::new(Reloader { file: config_file, source: source.clone(), counters: counters.clone() });
+        let reloader = Rc::new(Reloader::new(config_file, source.clone(), counters.clone()));
         let shutdown = Shutdown { life: life.clone(), slots: slots.clone(), longest_deadline };
         let handler =
             signals::Handler { executor: executor.clone(), shown: shown.clone(), reloader, shutdown };
