Show reads burnt where a removal does not bind

Where the settings say that only a drain binds, the module sends to members that left the list, and the network side calls each of these attempts off unsent until all are spent.

--- a/crates/daemon/tests/crossings.rs
+++ b/crates/daemon/tests/crossings.rs
@@ -386,3 +386,26 @@
         drop(open);
     }
 }
+
+#[test]
+fn where_removal_does_not_bind_who_left_the_list_is_still_sent_to_unless_it_drained() {
+    let (kept, drained) = (plain("s-1", "replica"), plain("s-2", "replica"));
+    let discovery = Discovery::new();
+    let entries = vec![kept.entry("up", "replica"), drained.entry("up", "replica")];
+    let mut text: serde_json::Value = serde_json::from_str(&config(&discovery, entries, 1_024)).unwrap();
+    text["settings"]["Rules"]["SoftRemoval"] = true.into();
+    let pooler = Pooler::on(&text.to_string());
+    let (_, watch) = discovery.watch();
+    watch.send(Some(list(42, false, vec![drained.entry("draining", "replica")]))).unwrap();
+    let removed = vec![drained.entry("removed", "replica"), kept.entry("removed", "replica")];
+    watch.send(Some(list(43, false, removed))).unwrap();
+    watch.send(None).unwrap();
+    let (again, _) = discovery.watch();
+    assert!(again.contains("since=43"), "both are taken in: {again}");
+    let mut client = Client::connect(&pooler);
+    for at in 0..20 {
+        let answer = client.ask(&menu(&at.to_string()));
+        assert_eq!(answer.value.as_deref(), Some(&b"s-1"[..]), "{at}: {answer:?}");
+    }
+    assert_eq!(drained.got(), [""; 0]);
+}
