Ask the module who takes new work, also where removals do not bind

Cause: the network side had a rule of its own for who may be sent to (in service by the list), which knew nothing of settings under which only a drain binds. Change: it asks the module, which learns of each change in the same moment.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -441,6 +441,12 @@
         write || m.role() == PRIMARY || self.fit(m, self.need(now, open), now)
     }
 
+    /// Whether a member may be sent anything new, as the list has it by now.
+    #[must_use]
+    pub fn takes_new_work(&self, member: &MemberId) -> bool {
+        self.members.get(member).is_some_and(|m| self.sendable(m))
+    }
+
     fn set_due(&mut self, id: RequestId, at: Time) {
         let Some(open) = self.open.get_mut(&id) else { return };
         self.due.remove(&(open.due, id));
--- a/crates/net/src/driver.rs
+++ b/crates/net/src/driver.rs
@@ -119,6 +119,11 @@
         self.router.borrow().still_fit(self.clock.now(), request, member)
     }
 
+    /// Whether the module would send a member anything new.
+    pub fn takes_new_work(&self, member: &MemberId) -> bool {
+        self.router.borrow().takes_new_work(member)
+    }
+
     /// Wakes the module when it asked for it. A later wish takes the place of an earlier one: the module
     /// voices one only if it is sooner, or the earlier has passed.
     pub async fn run_wakes(&self) {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -93,7 +93,7 @@
         let reserve = (config.sockets / 4).min(40);
         let shared = config.sockets - reserve;
         let (spare_clients, most_upstream) = ((shared / 24).max(8).min(shared / 4), shared * 3 / 8);
-        let pool = Rc::new(Pool::new(members.clone(), counters.clone(), config.host, most_upstream));
+        let pool = Rc::new(Pool::new(driver.clone(), members.clone(), config.host, most_upstream));
         let source = Rc::new(Source::new(config.discovery));
         let feed = Feed::new(members, driver.clone());
         let slots = Slots::new(shared - most_upstream - spare_clients, spare_clients, config.sockets / 4);
--- a/crates/net/src/members.rs
+++ b/crates/net/src/members.rs
@@ -34,12 +34,6 @@
         self.0.borrow().get(member).and_then(|known| known.address)
     }
 
-    /// Whether a member takes new work.
-    #[must_use]
-    pub fn in_service(&self, member: &MemberId) -> bool {
-        self.0.borrow().get(member).is_some_and(|known| known.state == ListState::Healthy)
-    }
-
     /// All that are known, by id.
     #[must_use]
     pub fn all(&self) -> Vec<(MemberId, Known)> {
--- a/crates/net/src/upstream.rs
+++ b/crates/net/src/upstream.rs
@@ -2,6 +2,7 @@
 
 use super::buffer::{ReadBuffer, write_all};
 use super::counters::Counters;
+use super::driver::Driver;
 use super::members::Members;
 use super::pg::{self, Code, Notes, Part, PgError};
 use super::request::{Carrier, Ended, Sending};
@@ -236,6 +237,7 @@
 
 /// The connections to all servers.
 pub struct Pool {
+    driver: Rc<Driver>,
     members: Rc<Members>,
     counters: Rc<Counters>,
     host: HostSettings,
@@ -246,9 +248,10 @@
 impl Pool {
     /// A pool of at most `most` connections.
     #[must_use]
-    pub fn new(members: Rc<Members>, counters: Rc<Counters>, host: HostSettings, most: usize) -> Self {
+    pub fn new(driver: Rc<Driver>, members: Rc<Members>, host: HostSettings, most: usize) -> Self {
         let budget = Rc::new(Budget { used: Cell::new(0), most, freed: Event::new() });
-        Self { members, counters, host, budget, idle: RefCell::default() }
+        let counters = driver.counters.clone();
+        Self { driver, members, counters, host, budget, idle: RefCell::default() }
     }
 
     fn longest_idle(&self) -> Duration {
@@ -261,7 +264,7 @@
             Timer::after(Duration::from_millis(500)).await;
             let longest = self.longest_idle();
             self.idle.borrow_mut().retain(|member, connections| {
-                let address = self.members.address(member).filter(|_| self.members.in_service(member));
+                let address = self.members.address(member).filter(|_| self.driver.takes_new_work(member));
                 connections.retain(|one| one.usable(address, longest));
                 !connections.is_empty()
             });
@@ -276,7 +279,7 @@
     }
 
     fn put_back(&self, member: &MemberId, mut connection: Connection) {
-        if !connection.buffer.data().is_empty() || !self.members.in_service(member) {
+        if !connection.buffer.data().is_empty() || !self.driver.takes_new_work(member) {
             return;
         }
         connection.buffer.rest();
@@ -391,7 +394,7 @@
     ) -> Result<(Connection, Exchange), Lost> {
         let mut connection = self.connection(member, stage).await?;
         // The list may have changed while the connection was opened; nothing new goes to who drains or is gone.
-        if !self.members.in_service(member) {
+        if !self.driver.takes_new_work(member) {
             return Err(Lost::Withdrawn);
         }
         // Nor does a read whose data there has grown too old by now.
