--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -1,4 +1,4 @@
-//! The plain types between the decisions (`choice.rs`) and whoever hosts them: settings, events,
+//! The plain types between the decisions (`router`) and whoever hosts them: settings, events,
 //! actions, ids and outcomes. No decision and no tuned value stands here.
 
 use std::ops::{Add, Sub};
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,12 +11,12 @@
 #[doc = include_str!("../../../README.md")]
 struct Readme;
 
-mod choice;
 pub mod handover;
 mod interface;
 pub mod membership;
+mod router;
 pub mod settings;
 mod state;
 
-pub use choice::Router;
 pub use interface::*;
+pub use router::Router;
--- /dev/null
+++ b/crates/core/src/router/evidence.rs
@@ -0,0 +1,113 @@
+//! Who is the primary and how far members have applied the log, as answers, reports and probes tell it.
+
+use super::Router;
+use super::tuning::*;
+use crate::handover::Candidate;
+use crate::interface::*;
+use crate::state::*;
+
+impl Router {
+    pub(super) fn note(&mut self, now: Time, id: &MemberId, note: Option<Note>, took: Span, write: bool) {
+        let Some((note, m)) = note.zip(self.members.get_mut(id)) else { return };
+        let at = now - took;
+        let seen = note.position.filter(|p| *p <= now && (!write || note.role == Some(Role::Primary)));
+        (m.position, m.read_at) = seen.map_or((m.position, m.read_at), |at| (m.position.max(at), now));
+        match note.role {
+            Some(Role::Primary) => {
+                m.position = m.position.max(at);
+                self.show_primary(now, id, at.max(seen.unwrap_or(at)));
+            }
+            // One that hung answers long after the send: what it said just now goes before an older report.
+            Some(Role::Replica) => m.replica_at = m.replica_at.max(now - Span(1)),
+            None => {}
+        }
+    }
+
+    pub(super) fn report(&mut self, now: Time, id: &MemberId, report: Option<&[f64]>) {
+        let Some((report, m)) = report.zip(self.members.get_mut(id)) else { return };
+        let (position, primary) = self.settings.reading(report);
+        let Some(position) = position.filter(|position| *position <= now) else { return };
+        if position > m.position || now - m.read_at > REPORT_AGE {
+            m.read_at = now;
+        }
+        m.position = m.position.max(position);
+        self.stirred.insert(m.group);
+        match primary {
+            Some(true) => self.show_primary(now, id, position),
+            Some(false) => m.replica_at = m.replica_at.max(position),
+            None => {}
+        }
+    }
+
+    pub(super) fn show_primary(&mut self, now: Time, id: &MemberId, at: Time) {
+        let Some(m) = self.members.get_mut(id) else { return };
+        m.primary_at = m.primary_at.max(at);
+        let gid = m.group;
+        let rival = self.groups.get(&gid).and_then(|group| group.mark.as_ref()).filter(|mark| *mark != id);
+        let rival_at = rival.map_or(NEVER, |mark| self.members[mark].primary_at);
+        let Some(group) = self.groups.get_mut(&gid) else { return };
+        if at > rival_at {
+            if group.lost || group.mark.as_ref() != Some(id) {
+                self.log = Some(format!("group {}: primary shown at {}", gid.0, id.0));
+            }
+            group.mark = Some(id.clone());
+        }
+        self.stirred.insert(gid);
+        let found = self.shown(now, gid).is_some();
+        self.groups.entry(gid).and_modify(|group| group.lost &= !found);
+    }
+
+    /// The marked member, if it was last shown as primary and is not suspect.
+    pub(super) fn shown(&self, now: Time, gid: GroupId) -> Option<&MemberId> {
+        let mark = self.groups.get(&gid)?.mark.as_ref()?;
+        let m = &self.members[mark];
+        (m.role() == PRIMARY && self.sendable(m) && !self.suspect(m, now)).then_some(mark)
+    }
+
+    /// A marked primary that fell silent, with nothing else out there. One fresh read at a time tries it: if
+    /// only some connections are silent, nothing else would show it before they end.
+    pub(super) fn on_trial(&self, now: Time, gid: GroupId) -> Option<&MemberId> {
+        let mark = self.groups.get(&gid)?.mark.as_ref()?;
+        let m = &self.members[mark];
+        let free = now >= m.ejected && self.live(m, now) < 1.0;
+        (m.role() == PRIMARY && self.sendable(m) && free).then_some(mark)
+    }
+
+    /// Looks for a group's primary: asks all members, less and less often while none shows.
+    pub(super) fn seek(&mut self, now: Time, gid: GroupId, actions: &mut Vec<Action>) {
+        let Some(group) = self.groups.get(&gid) else { return };
+        let known = group.members.iter().map(|id| (id, &self.members[id]));
+        // A fresh router asks whom the list shows before it asks all: it is seldom wrong.
+        let silent = |m: &Member| m.primary_at.max(m.replica_at) == Time::default();
+        let waits = |m: &Member| m.probed == Time::default() || now - m.probed < SEEK_LISTED;
+        let first = |m: &Member| m.listed_primary && silent(m) && waits(m) && self.sendable(m);
+        if let Some(id) = known.clone().find(|(_, m)| first(m)).map(|(id, _)| id.clone()) {
+            return self.probe(now, &[id], SEEK_LISTED, actions);
+        }
+        let candidates: Vec<_> = known
+            .filter(|(_, m)| self.sendable(m))
+            .map(|(member, m)| Candidate {
+                member,
+                position: m.position,
+                asked: m.probed,
+                before: m.role() == PRIMARY,
+            })
+            .collect();
+        let mut seek = group.seek;
+        let ids = seek.ask(now, self.settings.fleet, &candidates);
+        self.groups.entry(gid).and_modify(|group| group.seek = seek);
+        self.probe(now, &ids, Span(1), actions);
+    }
+
+    pub(super) fn probe(&mut self, now: Time, ids: &[MemberId], every: Span, actions: &mut Vec<Action>) {
+        for id in ids {
+            let Some(m) = self.members.get(id).filter(|m| self.settings.probes && self.sendable(m)) else {
+                continue;
+            };
+            if now - m.probed >= every {
+                actions.push(Action::Probe { member: id.clone() });
+                self.members.entry(id.clone()).and_modify(|m| m.probed = now);
+            }
+        }
+    }
+}
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -1,4 +1,4 @@
-//! The plain state that the decisions (`choice.rs`) keep. No decision and no tuned value stands here.
+//! The plain state that the decisions (`router`) keep. No decision and no tuned value stands here.
 
 use crate::handover::Seek;
 use crate::interface::*;
