Show stale reads of a pooler whose clock was set wrong

The clock is anchored once, at the start. Behind by 5 s it drops each position that is later than its own time, so that just the replicas that lag by more are left, and takes these for fresh: bounded reads are answered from data older than the class allows. Ahead it finds no replica fresh.

--- /dev/null
+++ b/crates/core/tests/clock.rs
@@ -0,0 +1,79 @@
+//! A router whose clock is off: positions, commits and starts are told on the fleet's clock, and its own was set wrong.
+
+mod common;
+
+use common::*;
+use linnetdeal_core::*;
+
+const HOUR: i64 = 3_600_000;
+
+fn unchecked() -> Settings {
+    Settings { checks: Checks::None, ..settings() }
+}
+
+/// Where so many bounded reads go.
+fn bounded(host: &mut Host, count: usize) -> Vec<MemberId> {
+    (0..count).flat_map(|_| sends(&host.ask(READ).1)).collect()
+}
+
+#[test]
+fn a_clock_that_is_behind_makes_no_old_data_look_fresh() {
+    for behind in [2_000, 5_000, HOUR] {
+        let mut host = Host::new(unchecked(), 3);
+        host.probed(1, true, -behind);
+        // One replica lags by what the clock is off, the other hardly at all.
+        host.probed(2, false, 0);
+        host.probed(3, false, 10 - behind);
+        let sent = bounded(&mut host, 40);
+        assert!(!sent.contains(&member(2)), "{behind}: its data is {behind} ms old, and a second is allowed");
+        assert!(sent.contains(&member(3)), "{behind}: its data is fresh");
+    }
+}
+
+#[test]
+fn a_commit_tells_a_clock_that_is_ahead() {
+    for ahead in [5_000, HOUR] {
+        let mut host = Host::new(unchecked(), 3);
+        let (id, actions) = host.ask(UNSAFE);
+        assert_eq!(sends(&actions), [member(1)]);
+        host.now = host.now + Span::millis(5);
+        let commit = host.now - Span::millis(ahead + 2);
+        host.tell(Event::Outcome(Outcome {
+            request: id,
+            attempt: AttemptNo(0),
+            member: member(1),
+            verdict: Verdict::Ok,
+            note: Some(Note { role: Some(Role::Primary), position: Some(commit) }),
+            took: Span::millis(5),
+            closed: true,
+            report: None,
+        }));
+        host.probed(2, false, ahead + 20);
+        host.probed(3, false, ahead + 1_500);
+        let sent = bounded(&mut host, 40);
+        assert!(sent.contains(&member(2)), "{ahead}: its data is fresh");
+        assert!(!sent.contains(&member(3)), "{ahead}: its data is older than a second");
+    }
+}
+
+#[test]
+fn a_primary_of_before_is_no_fresher_than_the_fleets_clock() {
+    // Its own clock is an hour ahead: what a primary had at some moment must not be dated by it.
+    let mut host = Host::new(unchecked(), 3);
+    for _ in 0..20 {
+        let (id, actions) = host.ask(FRESH);
+        if let Some(to) = sends(&actions).first().cloned() {
+            let at = (1..=3).find(|at| member(*at) == to).unwrap();
+            host.end_with(id, 0, at, Verdict::Ok, Some(Role::Primary));
+        } else {
+            host.probed(1, true, HOUR);
+        }
+        host.now = host.now + Span::millis(20);
+    }
+    // It hands over, and lags from then on.
+    host.probed(1, false, HOUR + 500);
+    host.probed(2, true, HOUR);
+    host.now = host.now + Span::millis(5_000);
+    host.probed(2, true, HOUR);
+    assert!(!bounded(&mut host, 40).contains(&member(1)), "what is known of it is over five seconds old");
+}
