Judge positions by the fleet's clock, as the fleet tells it

Cause: positions, which are Unix times of the fleet, were compared with a clock anchored at the wall clock once. Change: a position later than that shows that it is behind, a commit within the time of its write that it is ahead, and it is corrected by that; spans stay on the steady clock. Open: before any primary has been heard a clock that is behind is not known to be.

--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -33,6 +33,20 @@
     }
 }
 
+impl Add for Span {
+    type Output = Self;
+    fn add(self, span: Self) -> Self {
+        Self(self.0.saturating_add(span.0))
+    }
+}
+
+impl Sub for Span {
+    type Output = Self;
+    fn sub(self, span: Self) -> Self {
+        Self(self.0.saturating_sub(span.0))
+    }
+}
+
 impl Sub<Span> for Time {
     type Output = Self;
     fn sub(self, span: Span) -> Self {
--- a/crates/core/src/router/evidence.rs
+++ b/crates/core/src/router/evidence.rs
@@ -7,38 +7,67 @@
 use crate::state::*;
 
 impl Router {
+    /// Takes what an answer told of its member.
     pub(super) fn note(&mut self, now: Time, id: &MemberId, note: Option<Note>, took: Span, write: bool) {
-        let Some((note, m)) = note.zip(self.members.get_mut(id)) else { return };
-        let at = now - took;
-        let seen = note.position.filter(|p| *p <= now && (!write || note.role == Some(Role::Primary)));
+        let Some(note) = note else { return };
+        let of_primary = note.role == Some(Role::Primary);
+        let told = note.position.filter(|position| self.clock.heard_position(now, *position));
+        if let Some(commit) = told.filter(|_| write && of_primary)
+            && self.clock.heard_commit(now, commit, took)
+        {
+            self.set_clock_back(now);
+        }
+        let present = self.clock.at(now);
+        // Without a word of the fleet's time a moment of the own clock dates no position.
+        let asked = if self.clock.is_confirmed() { present - took } else { NEVER };
+        let Some(m) = self.members.get_mut(id) else { return };
+        let seen = told.filter(|_| !write || of_primary);
         (m.position, m.read_at) = seen.map_or((m.position, m.read_at), |at| (m.position.max(at), now));
         match note.role {
             Some(Role::Primary) => {
-                m.position = m.position.max(at);
+                m.position = m.position.max(asked);
+                let at = present - took;
                 self.show_primary(now, id, at.max(seen.unwrap_or(at)));
             }
             // One that hung answers long after the send: what it said just now goes before an older report.
-            Some(Role::Replica) => m.replica_at = m.replica_at.max(now - Span(1)),
+            Some(Role::Replica) => m.replica_at = m.replica_at.max(present - Span(1)),
             None => {}
         }
     }
 
-    pub(super) fn report(&mut self, now: Time, id: &MemberId, report: Option<&[f64]>) {
+    /// Takes a load report.
+    pub(super) fn report(&mut self, now: Time, id: &MemberId, report: Option<&[f64]>, took: Span) {
         let Some((report, m)) = report.zip(self.members.get_mut(id)) else { return };
         let (position, primary) = self.settings.reading(report);
-        let Some(position) = position.filter(|position| *position <= now) else { return };
+        let Some(position) = position.filter(|position| self.clock.heard_position(now, *position)) else {
+            return;
+        };
         if position > m.position || now - m.read_at > REPORT_AGE {
             m.read_at = now;
         }
         m.position = m.position.max(position);
         self.stirred.insert(m.group);
         match primary {
-            Some(true) => self.show_primary(now, id, position),
+            Some(true) => {
+                self.clock.heard_primary(now, position, took);
+                self.show_primary(now, id, position);
+            }
             Some(false) => m.replica_at = m.replica_at.max(position),
             None => {}
         }
     }
 
+    /// The clock was ahead: what it had dated by then is no later than the present.
+    fn set_clock_back(&mut self, now: Time) {
+        let present = self.clock.at(now);
+        for m in self.members.values_mut() {
+            m.position = m.position.min(present);
+            m.primary_at = m.primary_at.min(present);
+            m.replica_at = m.replica_at.min(present);
+        }
+        self.log = Some("the clock was ahead of the fleet's".to_owned());
+    }
+
     pub(super) fn show_primary(&mut self, now: Time, id: &MemberId, at: Time) {
         let Some(m) = self.members.get_mut(id) else { return };
         m.primary_at = m.primary_at.max(at);
--- /dev/null
+++ b/crates/core/src/router/fleet_clock.rs
@@ -0,0 +1,59 @@
+//! The clock that positions, commits and starts are told in. This router's own clock measures spans; what it was set to
+//! may be off by seconds or by an hour, and shows only where the fleet tells of the present.
+
+use crate::interface::{Span, Time};
+
+/// A position further ahead than this is no sign of the clock but nonsense.
+const LARGEST_ERROR: Span = Span::millis(2 * 3_600_000);
+/// A clock that agrees within this is right: reports are of different ages.
+const TOLERANCE: Span = Span::millis(500);
+
+/// The fleet's time, by the router's own and what it has been told.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct FleetClock {
+    /// What the fleet's clock is ahead of the router's own.
+    ahead: Span,
+    /// A primary's word has agreed with it.
+    confirmed: bool,
+}
+
+impl FleetClock {
+    /// The fleet's time at a moment of the router's own clock.
+    pub(super) fn at(&self, own: Time) -> Time {
+        own + self.ahead
+    }
+
+    /// Whether a primary's word has agreed with it.
+    pub(super) fn is_confirmed(&self) -> bool {
+        self.confirmed
+    }
+
+    /// Some member has applied all up to this position: the present is no earlier. Whether it can be.
+    pub(super) fn heard_position(&mut self, own: Time, position: Time) -> bool {
+        let error = position - self.at(own);
+        if error > LARGEST_ERROR {
+            return false;
+        }
+        if error > Span(0) {
+            self.ahead = self.ahead + error;
+        }
+        true
+    }
+
+    /// A primary said where it stood after a question that took so long: there, or a little later, is the present.
+    pub(super) fn heard_primary(&mut self, own: Time, position: Time, took: Span) {
+        self.confirmed |= self.at(own) - position <= TOLERANCE + took;
+    }
+
+    /// A write was committed after it was sent so long ago: the present is no later than that after its commit. Gives
+    /// whether the clock was ahead and has been set back.
+    pub(super) fn heard_commit(&mut self, own: Time, commit: Time, took: Span) -> bool {
+        let error = self.at(own) - (commit + took);
+        self.confirmed = true;
+        let was_ahead = error > TOLERANCE;
+        if was_ahead {
+            self.ahead = self.ahead - error;
+        }
+        was_ahead
+    }
+}
--- a/crates/core/src/router/health.rs
+++ b/crates/core/src/router/health.rs
@@ -15,6 +15,7 @@
         out: Option<&Out>,
     ) {
         let Some(m) = self.members.get(id) else { return };
+        let present = self.clock.at(now);
         let (gid, role, work, credit) = (m.group, m.role(), self.in_work(m, now), self.credit(m, now));
         self.stirred.insert(gid);
         // What went overdue or grew old while this router itself stood still tells nothing of the member.
@@ -52,7 +53,7 @@
                 m.ejected = NEVER;
                 m.reached = m.reached.max(now - took);
                 let met = out.and_then(|out| out.need).filter(|_| self.settings.checks == Checks::Refuse);
-                m.position = m.position.max(met.map_or(NEVER, |need| need.min(now)));
+                m.position = m.position.max(met.map_or(NEVER, |need| need.min(present)));
             }
             // A member that answered others meanwhile is crowded, not dead: ejecting for it would eject all.
             Verdict::Timeout if lost => {}
@@ -81,7 +82,7 @@
             Verdict::Miss => {
                 m.behind = out.and_then(|out| out.need).map(|need| (need, now)).or(m.behind);
                 if out.is_some_and(|out| self.settings.classes[out.class].need == Need::Write) {
-                    m.replica_at = m.replica_at.max(now - Span(1));
+                    m.replica_at = m.replica_at.max(present - Span(1));
                 }
             }
             // An error speaks against the member only where a peer answers the same request: `outcome`.
--- a/crates/core/src/router/mod.rs
+++ b/crates/core/src/router/mod.rs
@@ -4,6 +4,7 @@
 //! the first under it of the next `FORWARD`. A write goes to the mark, walks on proof, and is then held.
 
 mod evidence;
+mod fleet_clock;
 mod health;
 mod list;
 mod outcomes;
@@ -15,6 +16,7 @@
 
 use crate::interface::*;
 use crate::state::*;
+use fleet_clock::FleetClock;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -25,6 +27,7 @@
 pub struct Router {
     settings: Settings,
     rng: ChaCha8Rng,
+    clock: FleetClock,
     members: BTreeMap<MemberId, Member>,
     groups: BTreeMap<GroupId, Group>,
     open: BTreeMap<RequestId, Open>,
@@ -63,6 +66,7 @@
         };
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
+            clock: FleetClock::default(),
             pace: settings.classes.iter().map(pace).collect(),
             classes: vec![Counts::default(); settings.classes.len()],
             tenants: vec![Counts::default(); settings.tenants.len()],
@@ -102,7 +106,7 @@
             Event::Outcome(outcome) => self.outcome(now, outcome, actions),
             Event::Probed { member, verdict, took, report } => {
                 // An answered probe is no sign of life: it passes beside the queue of a member that hangs.
-                self.report(now, &member, report.as_deref());
+                self.report(now, &member, report.as_deref(), took);
                 if matches!(verdict, Verdict::ConnectFailed | Verdict::Unreachable) {
                     self.judge(now, &member, verdict, took, None);
                 }
--- a/crates/core/src/router/outcomes.rs
+++ b/crates/core/src/router/outcomes.rs
@@ -15,12 +15,12 @@
         let out = self.members.get_mut(&member).and_then(|m| m.out.remove(&(id, attempt)));
         let write = out.as_ref().is_some_and(|o| self.settings.classes[o.class].need == Need::Write);
         self.note(now, &member, note, took, write);
-        self.report(now, &member, report.as_deref());
+        self.report(now, &member, report.as_deref(), took);
         self.judge(now, &member, verdict, took, out.as_ref());
         // A write that may have run is its session's: its answer may have come while nobody waited for it.
         if let Some(key) = out.filter(|_| write && !verdict.never_ran()).and_then(|out| out.session) {
             let commit = note.filter(|_| verdict == Verdict::Ok).and_then(|note| note.position);
-            let at = commit.unwrap_or(now);
+            let at = commit.unwrap_or(self.clock.at(now));
             self.tokens.entry(key).and_modify(|token| *token = at.max(*token)).or_insert(at);
         }
         let Some(open) = self.open.get_mut(&id) else { return };
--- a/crates/core/src/router/placement.rs
+++ b/crates/core/src/router/placement.rs
@@ -113,9 +113,9 @@
     pub(super) fn need(&self, now: Time, open: &Open) -> Option<Time> {
         match self.settings.classes[open.class].need {
             Need::Any | Need::Write => None,
-            Need::Bounded(bound) => Some(now - bound),
+            Need::Bounded(bound) => Some(self.clock.at(now) - bound),
             Need::Session => open.token,
-            Need::Fresh => Some(open.arrived),
+            Need::Fresh => Some(self.clock.at(open.arrived)),
         }
     }
 
