Show cold members taken for warm by a clock that is ahead

A member that the list tells anew is warm at once for a pooler whose clock is ahead by the cold time or more: 50 sends in one moment where its budget is 2. Where the clock is an hour behind it stays cold for an hour.

--- a/crates/core/tests/clock.rs
+++ b/crates/core/tests/clock.rs
@@ -77,3 +77,44 @@
     host.probed(2, true, HOUR);
     assert!(!bounded(&mut host, 40).contains(&member(1)), "what is known of it is over five seconds old");
 }
+
+/// A router that is served ten reads a second by two members, of which the second then starts anew, as the list says.
+fn sends_to_a_started_member(started_ago_ms: i64, wait_ms: i64) -> usize {
+    let mut host = Host::new(settings(), 2);
+    for _ in 0..40 {
+        host.now = host.now + Span::millis(95);
+        let (id, actions) = host.ask_within(ANY, 400);
+        let at = if sends(&actions) == [member(1)] { 1 } else { 2 };
+        host.now = host.now + Span::millis(5);
+        host.end(id, 0, at, Verdict::Ok);
+    }
+    let started = Some(host.now - Span::millis(started_ago_ms));
+    host.tell(Event::List(Listing::Changes(vec![Entry { started, ..entry(2) }])));
+    host.tell(Event::List(Listing::Changes(vec![Entry { state: ListState::Draining, ..entry(1) }])));
+    host.pass(wait_ms);
+    let mut sent = 0;
+    for _ in 0..50 {
+        let (id, actions) = host.ask_within(ANY, 400);
+        sent += sends(&actions).len();
+        if !sends(&actions).is_empty() {
+            host.end(id, 0, 2, Verdict::Ok);
+        }
+    }
+    sent
+}
+
+#[test]
+fn who_just_started_is_cold_whatever_the_clock_says() {
+    for ago in [0, 30_000, HOUR, -HOUR] {
+        let burst = sends_to_a_started_member(ago, 0);
+        assert!(burst <= 2, "{ago}: {burst} sends at once to a member that the list tells anew");
+    }
+}
+
+#[test]
+fn who_started_is_warm_after_its_time_whatever_the_clock_says() {
+    for ago in [0, 30_000, HOUR, -HOUR] {
+        let sent = sends_to_a_started_member(ago, 10_500);
+        assert!(sent >= 30, "{ago}: {sent} sends to a member that has been warm for half a second");
+    }
+}
