Date starts by when the list told them until the clock is confirmed

Cause: how long ago a member started was the wall clock's difference, so that a pooler whose clock was set ahead sent a member that had just started as much as a warm one (slow-start budget), and one whose clock was behind kept it cold for an hour. Change: a start that a change of the list tells counts from that moment, until a primary's word has agreed with the clock; then, and when the clock is corrected, starts are dated anew.

--- a/crates/core/src/router/evidence.rs
+++ b/crates/core/src/router/evidence.rs
@@ -11,12 +11,16 @@
     pub(super) fn note(&mut self, now: Time, id: &MemberId, note: Option<Note>, took: Span, write: bool) {
         let Some(note) = note else { return };
         let of_primary = note.role == Some(Role::Primary);
+        let confirmed = self.clock.is_confirmed();
         let told = note.position.filter(|position| self.clock.heard_position(now, *position));
         if let Some(commit) = told.filter(|_| write && of_primary)
             && self.clock.heard_commit(now, commit, took)
         {
             self.set_clock_back(now);
         }
+        if !confirmed && self.clock.is_confirmed() {
+            self.redate_starts(now);
+        }
         let present = self.clock.at(now);
         // Without a word of the fleet's time a moment of the own clock dates no position.
         let asked = if self.clock.is_confirmed() { present - took } else { NEVER };
@@ -49,7 +53,11 @@
         self.stirred.insert(m.group);
         match primary {
             Some(true) => {
+                let confirmed = self.clock.is_confirmed();
                 self.clock.heard_primary(now, position, took);
+                if !confirmed && self.clock.is_confirmed() {
+                    self.redate_starts(now);
+                }
                 self.show_primary(now, id, position);
             }
             Some(false) => m.replica_at = m.replica_at.max(position),
@@ -65,6 +73,7 @@
             m.primary_at = m.primary_at.min(present);
             m.replica_at = m.replica_at.min(present);
         }
+        self.redate_starts(now);
         self.log = Some("the clock was ahead of the fleet's".to_owned());
     }
 
--- a/crates/core/src/router/fleet_clock.rs
+++ b/crates/core/src/router/fleet_clock.rs
@@ -23,6 +23,11 @@
         own + self.ahead
     }
 
+    /// A moment of the fleet's time on the router's own clock.
+    pub(super) fn own(&self, fleet: Time) -> Time {
+        fleet - self.ahead
+    }
+
     /// Whether a primary's word has agreed with it.
     pub(super) fn is_confirmed(&self) -> bool {
         self.confirmed
--- a/crates/core/src/router/list.rs
+++ b/crates/core/src/router/list.rs
@@ -16,12 +16,13 @@
         };
         // Many routers may start together, and each knows only its own part.
         let limit = (FIRST_LIMIT / f64::from(self.settings.fleet)).max(LEAST_FIRST_LIMIT);
+        let first_list = !std::mem::replace(&mut self.has_list, true);
         let mut named = BTreeSet::new();
         for entry in entries {
             self.groups.entry(entry.group).or_default().members.insert(entry.member.clone());
             self.stirred.insert(entry.group);
             named.extend(full.then(|| entry.member.clone()));
-            let dice = self.chance();
+            let credit = self.chance();
             let id = entry.member.clone();
             let m = self.members.entry(entry.member).or_insert_with(|| Member::new(entry.group, limit));
             let before = std::mem::replace(&mut m.group, entry.group);
@@ -30,8 +31,8 @@
             }
             self.in_service += m.becomes(entry.state);
             m.listed_primary = entry.primary;
-            if let Some(at) = entry.started.filter(|_| entry.started > m.started) {
-                m.start(now, at, dice);
+            if let Some(started) = entry.started {
+                self.listed_start(now, &id, started, credit, first_list);
             }
         }
         let most = if full { usize::MAX } else { 0 };
--- a/crates/core/src/router/mod.rs
+++ b/crates/core/src/router/mod.rs
@@ -28,6 +28,8 @@
     settings: Settings,
     rng: ChaCha8Rng,
     clock: FleetClock,
+    /// The list has been told once: what comes after it are changes.
+    has_list: bool,
     members: BTreeMap<MemberId, Member>,
     groups: BTreeMap<GroupId, Group>,
     open: BTreeMap<RequestId, Open>,
@@ -67,6 +69,7 @@
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
             clock: FleetClock::default(),
+            has_list: false,
             pace: settings.classes.iter().map(pace).collect(),
             classes: vec![Counts::default(); settings.classes.len()],
             tenants: vec![Counts::default(); settings.tenants.len()],
--- a/crates/core/src/router/slow_start.rs
+++ b/crates/core/src/router/slow_start.rs
@@ -8,10 +8,10 @@
 
 impl Router {
     pub(super) fn warmth(&self, m: &Member, now: Time) -> f64 {
-        let Some(started) = m.started else { return 1.0 };
+        let Some(since) = m.cold_since else { return 1.0 };
         let span = self.settings.cold_span.0.max(1) as f64;
         let share = self.settings.cold_share;
-        (share + (1.0 - share) * (now - started).0 as f64 / span).clamp(share.clamp(0.01, 1.0), 1.0)
+        (share + (1.0 - share) * (now - since).0 as f64 / span).clamp(share.clamp(0.01, 1.0), 1.0)
     }
 
     pub(super) fn room(&self, m: &Member, now: Time) -> bool {
@@ -34,10 +34,49 @@
         let span = MEMORY * (1.0 - (-life / MEMORY).exp());
         self.served.now(now, MEMORY)[1] / span / self.in_service.max(1.0)
     }
+
+    /// Takes the start of a member as the list has it.
+    pub(super) fn listed_start(
+        &mut self,
+        now: Time,
+        id: &MemberId,
+        started: Time,
+        credit: f64,
+        first_list: bool,
+    ) {
+        let confirmed = self.clock.is_confirmed();
+        let dated = self.clock.own(started).min(now);
+        let Some(m) = self.members.get_mut(id).filter(|m| Some(started) > m.listed_start) else { return };
+        m.listed_start = Some(started);
+        // A change tells of a start a moment ago. How long ago, only a clock that is right can say.
+        let presumed = !confirmed && !first_list;
+        let since = if presumed { now } else { dated };
+        if m.cold_since.is_none_or(|before| since > before) {
+            m.start(now, since, credit);
+            m.start_presumed = presumed;
+        }
+    }
+
+    /// Dates listed starts anew, after the clock was confirmed or corrected.
+    pub(super) fn redate_starts(&mut self, now: Time) {
+        let clock = self.clock;
+        for m in self.members.values_mut() {
+            let Some(since) = m.listed_start.map(|started| clock.own(started).min(now)) else { continue };
+            if std::mem::take(&mut m.start_presumed) {
+                m.cold_since = Some(since);
+            } else if m.cold_since.is_none_or(|before| since > before) {
+                m.start(now, since, 0.0);
+            }
+        }
+    }
 }
 
 impl Member {
-    pub(super) fn start(&mut self, now: Time, at: Time, credit: f64) {
-        (self.started, self.limit, self.credit) = (Some(at), LEAST_LIMIT, (now, credit));
+    /// It has started, and is coldest at that moment of the router's own clock.
+    pub(super) fn start(&mut self, now: Time, since: Time, credit: f64) {
+        self.cold_since = Some(since);
+        self.start_presumed = false;
+        self.limit = LEAST_LIMIT;
+        self.credit = (now, credit);
     }
 }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -24,7 +24,12 @@
     pub(crate) group: GroupId,
     pub(crate) state: ListState,
     pub(crate) listed_primary: bool,
-    pub(crate) started: Option<Time>,
+    /// When it last started, on the fleet's clock, as the list has it.
+    pub(crate) listed_start: Option<Time>,
+    /// When it was coldest, on the router's own clock; `None` for long ago.
+    pub(crate) cold_since: Option<Time>,
+    /// `cold_since` is when the list told of the start, as nothing confirmed the clock by then.
+    pub(crate) start_presumed: bool,
     /// It has applied all up to here; never goes back.
     pub(crate) position: Time,
     /// When the position was read.
