--- a/crates/core/src/router/fleet_clock.rs
+++ b/crates/core/src/router/fleet_clock.rs
@@ -2,21 +2,30 @@
 //! may be off by seconds or by an hour, and shows only where the fleet tells of the present.
 
 use crate::interface::{Span, Time};
+use crate::state::NEVER;
 
-/// A position further ahead than this is no sign of the clock but nonsense.
+/// What is further off than this is no sign of the clock but nonsense.
 const LARGEST_ERROR: Span = Span::millis(2 * 3_600_000);
 /// A clock that agrees within this is right: reports are of different ages.
 const TOLERANCE: Span = Span::millis(500);
 
 /// The fleet's time, by the router's own and what it has been told.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub(super) struct FleetClock {
     /// What the fleet's clock is ahead of the router's own.
     ahead: Span,
+    /// The latest position that was told.
+    latest: Time,
     /// A primary's word has agreed with it.
     confirmed: bool,
 }
 
+impl Default for FleetClock {
+    fn default() -> Self {
+        Self { ahead: Span(0), latest: NEVER, confirmed: false }
+    }
+}
+
 impl FleetClock {
     /// The fleet's time at a moment of the router's own clock.
     pub(super) fn at(&self, own: Time) -> Time {
@@ -42,6 +51,7 @@
         if error > Span(0) {
             self.ahead = self.ahead + error;
         }
+        self.latest = self.latest.max(position);
         true
     }
 
@@ -51,9 +61,13 @@
     }
 
     /// A write was committed after it was sent so long ago: the present is no later than that after its commit. Gives
-    /// whether the clock was ahead and has been set back.
+    /// whether the clock was ahead and has been set back. No further than to what others told: data that is too old
+    /// must not come to look fresh.
     pub(super) fn heard_commit(&mut self, own: Time, commit: Time, took: Span) -> bool {
-        let error = self.at(own) - (commit + took);
+        let error = self.at(own) - (commit + took).max(self.latest);
+        if error > LARGEST_ERROR {
+            return false;
+        }
         self.confirmed = true;
         let was_ahead = error > TOLERANCE;
         if was_ahead {
--- a/crates/core/tests/clock.rs
+++ b/crates/core/tests/clock.rs
@@ -56,6 +56,29 @@
     }
 }
 
+#[test]
+fn a_commit_that_makes_no_sense_sets_no_clock_back() {
+    // Others have told of the present, and a lone word of long ago does not make old data look fresh.
+    for behind in [30_000, HOUR, 24 * HOUR] {
+        let mut host = Host::new(unchecked(), 3);
+        host.probed(1, true, 0);
+        host.probed(2, false, 5_000);
+        let (id, _) = host.ask(UNSAFE);
+        host.now = host.now + Span::millis(5);
+        host.tell(Event::Outcome(Outcome {
+            request: id,
+            attempt: AttemptNo(0),
+            member: member(1),
+            verdict: Verdict::Ok,
+            note: Some(Note { role: Some(Role::Primary), position: Some(host.now - Span::millis(behind)) }),
+            took: Span::millis(5),
+            closed: true,
+            report: None,
+        }));
+        assert!(!bounded(&mut host, 40).contains(&member(2)), "{behind}: its data is five seconds old");
+    }
+}
+
 #[test]
 fn a_primary_of_before_is_no_fresher_than_the_fleets_clock() {
     // Its own clock is an hour ahead: what a primary had at some moment must not be dated by it.
