--- a/crates/daemon/tests/crossings.rs
+++ b/crates/daemon/tests/crossings.rs
@@ -409,3 +409,27 @@
     }
     assert_eq!(drained.got(), [""; 0]);
 }
+
+#[test]
+fn only_the_codes_of_the_pages_prove_that_a_write_never_ran() {
+    // 57P03 is how a server turns a connection or a probe away; in answer to a statement it proves nothing.
+    for code in ["XX000", "57P03", "57P01", "08006", "40001"] {
+        let (first, second) = (
+            Server::new("s-1", move |wire, statement| {
+                if statement.starts_with("SHOW") {
+                    wire.row(b"x0=1767225600.1,x1=1", "master", NOW_MS);
+                } else {
+                    wire.error(code, "master");
+                }
+                true
+            }),
+            plain("s-2", "master"),
+        );
+        let discovery = Discovery::new();
+        let entries = vec![first.entry("up", "master"), second.entry("up", "replica")];
+        let pooler = Pooler::new(&discovery, entries);
+        let answer = Client::connect(&pooler).ask(&top_up("1"));
+        assert_eq!(answer.code.as_deref(), Some("08007"), "{code}: {answer:?}");
+        assert_eq!(first.got().len() + second.got().len(), 1, "{code}: not sent again");
+    }
+}
--- a/crates/net/tests/parsers.rs
+++ b/crates/net/tests/parsers.rs
@@ -104,3 +104,16 @@
         prop_assert_eq!(pg::key(&statement), Some(key.as_str()));
     }
 }
+
+#[test]
+fn a_comment_that_says_a_thing_twice_is_no_request() {
+    // A server may read the first of two waits, and only one is rewritten to what the client has left.
+    let one = "SELECT 1 /* id=a1,c=any,d=480,cluster=2 */";
+    assert!(matches!(pg::request(one), Ok(pg::Asks::Request(_))));
+    for twice in ["id=a2", "c=other", "d=100", "cluster=3"] {
+        let statement = format!("SELECT 1 /* id=a1,c=any,d=480,cluster=2,{twice} */");
+        assert!(pg::request(&statement).is_err(), "{twice}");
+    }
+    let unreadable = "SELECT 1 /* id=a1,c=any,d=480,cluster=2,after=soon */";
+    assert!(pg::request(unreadable).is_err(), "a session's last write that can't be read is not none");
+}
