--- a/crates/net/src/upstream.rs
+++ b/crates/net/src/upstream.rs
@@ -427,7 +427,7 @@
         };
         match (or(answer, limit).await, stage.get()) {
             (Some(Ok(done)), _) => Ok(done),
-            (Some(Err(Lost::Said(code))), _) => Err(verdict(code)),
+            (Some(Err(Lost::Said(code))), _) => Err(connection_verdict(code)),
             // Nothing was sent, and nothing is known of the member.
             (Some(Err(Lost::Withdrawn)), _) | (None, Stage::Waiting) => Err(Verdict::Moot),
             (None, Stage::Sent) => Err(Verdict::Timeout),
@@ -490,15 +490,23 @@
     }
 }
 
-/// What a server's error tells: only these codes prove that nothing ran.
-fn verdict(code: Code) -> Verdict {
+/// What a server's error in answer to a statement tells: only these codes prove that nothing ran.
+fn statement_verdict(code: Code) -> Verdict {
     match &code.0 {
-        b"53300" | b"57P03" => Verdict::Full,
+        b"53300" => Verdict::Full,
         b"25006" | b"72000" => Verdict::Miss,
         _ => Verdict::Error,
     }
 }
 
+/// What a server's error before any statement tells: nothing was sent, whatever the code.
+fn connection_verdict(code: Code) -> Verdict {
+    match &code.0 {
+        b"53300" | b"57P03" => Verdict::Full,
+        _ => Verdict::Broken,
+    }
+}
+
 /// Reads one answer up to ReadyForQuery; what was whole before the connection ended counts. A spoilt one may
 /// have run, like one that never came.
 async fn read_answer(stream: &Async<TcpStream>, buffer: &mut ReadBuffer) -> Result<Exchange, Lost> {
@@ -537,6 +545,6 @@
             _ => return Err(Lost::Broken),
         }
     }
-    let verdict = answer.failed().map_or(Verdict::Ok, verdict);
+    let verdict = answer.failed().map_or(Verdict::Ok, statement_verdict);
     Ok(Exchange { verdict, notes: answer.into_notes(), pieces, value, size: at, ready })
 }
