Turn down comments that say a thing twice or can't be read

Cause: the last of two values counted here, the first may count at the server; and a session's last write that could not be read counted as none. Change: both are malformed comments. Measured by the parser's test on id, class, wait, group and last write.

--- a/crates/net/src/pg/comment.rs
+++ b/crates/net/src/pg/comment.rs
@@ -63,20 +63,24 @@
 }
 
 fn comment(statement: &str, inner: Range<usize>) -> Result<Comment<'_>, PgError> {
-    let (mut id, mut class, mut wait, mut cluster, mut after_ms) = (None, None, None, None, None);
+    let (mut id, mut class, mut wait, mut cluster, mut after) = (None, None, None, None, None);
     let mut at = inner.start;
     for pair in statement[inner].split(',') {
         let (name, value) = pair.split_once('=').ok_or(PgError::Malformed("request comment"))?;
         let from = at + name.len() + 1 + (value.len() - value.trim_start().len());
         at += pair.len() + 1;
         let value = value.trim();
-        match name.trim() {
-            "id" => id = Some(value).filter(|id| is_id(id)),
-            "c" => class = Some(value),
-            "d" => wait = Some((value, from..from + value.len())),
-            "cluster" => cluster = Some(value),
-            "after" => after_ms = value.parse().ok(),
-            _ => {}
+        let new = match name.trim() {
+            "id" => id.replace(value).is_none(),
+            "c" => class.replace(value).is_none(),
+            "d" => wait.replace((value, from..from + value.len())).is_none(),
+            "cluster" => cluster.replace(value).is_none(),
+            "after" => after.replace(value).is_none(),
+            _ => true,
+        };
+        // Of two values a server may go by the other one.
+        if !new {
+            return Err(PgError::Malformed("request comment"));
         }
     }
     let missing = PgError::Malformed("request comment");
@@ -85,7 +89,10 @@
     let plain = wait.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
     let wait_ms = wait.parse().ok().filter(|ms| plain && (0.0..1e9).contains(ms)).ok_or(missing)?;
     let cluster = cluster.map_or(Ok(0), str::parse).map_err(|_| missing)?;
-    let (id, class) = (id.ok_or(missing)?, class.ok_or(missing)?);
+    let after_ms =
+        after.map(|text| text.parse().ok().filter(|ms: &f64| ms.is_finite()).ok_or(missing)).transpose()?;
+    let id = id.filter(|id| is_id(id)).ok_or(missing)?;
+    let class = class.ok_or(missing)?;
     Ok(Comment { id, class, wait_ms, wait_at, cluster, after_ms })
 }
 
