--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -797,3 +797,28 @@
     assert!(!format!("{:?}", host.router).contains("GroupId(770"), "forgotten with the last of its requests");
     assert_eq!(sends(&host.ask(UNSAFE).1), [member(1)], "and the others are still known");
 }
+
+#[test]
+fn a_member_that_was_slow_once_gets_reads_again_while_its_peers_idle() {
+    // Its slowness is learnt from answers only, lifts its load over the threshold, and so brought no further answer.
+    let mut host = Host::new(settings(), 4);
+    let mut since_slow = 0;
+    let mut slow = None;
+    let mut again = 0;
+    for _ in 0..800 {
+        let (id, actions) = host.ask(ANY);
+        let to = sends(&actions);
+        let at = (1..=4).find(|at| to == [member(*at)]).expect("sent at once");
+        let first = slow.is_none() && host.now > Time(1_000_000_000) + Span::millis(1_000);
+        host.answer(id, 0, at, if first { 300 } else { 5 });
+        if first {
+            slow = Some(at);
+        } else if slow.is_some() {
+            since_slow += 1;
+            again += usize::from(slow == Some(at));
+        }
+        host.now = host.now + Span::millis(20);
+    }
+    assert!(since_slow > 500);
+    assert!(again > since_slow / 20, "{again} of {since_slow} reads");
+}
