Keep the cold budget for fleets that are busy, whatever their size

Cause: what a member can was taken for 1.5 times what it serves, which holds up to two thirds of its load, and its budget for what it is allowed at the end of a window. Change: 1.2 times, by how warm it was when the window began; a young router's life counts as 3 s at least (5 before), or it would get less than an older test wants.

--- a/crates/core/src/router/slow_start.rs
+++ b/crates/core/src/router/slow_start.rs
@@ -24,7 +24,9 @@
         let usual = self.serves(now);
         let jammed = part(&self.crowd[REPLICA], now, CROWD_IDLE) > HOPELESS_CROWD;
         let can = usual * if jammed { 1.0 } else { SPARE };
-        let rate = can * self.settings.fall_multiple * self.warmth(m, now);
+        // The budget is that of a whole window: it goes by how warm the member was at its beginning.
+        let warmth = self.warmth(m, now - self.settings.fall_span);
+        let rate = can * self.settings.fall_multiple * warmth;
         (m.credit.1 + rate * (now - m.credit.0).0 as f64).min(1.0 + rate * COLD_BURST)
     }
 
--- a/crates/core/src/router/tuning.rs
+++ b/crates/core/src/router/tuning.rs
@@ -64,10 +64,10 @@
 pub(super) const CROWD_PRIOR: f64 = 3.0;
 pub(super) const SPILL_OVER: f64 = 0.2;
 /// The microseconds whose cold budget may be saved up, the least that a router's life counts as, and what
-/// members can, as a multiple of what they serve while there is no jam: sites run at two thirds or less.
+/// members can, as a multiple of what they serve while there is no jam: how busy they are nobody tells.
 pub(super) const COLD_BURST: f64 = 1e5;
-pub(super) const LEAST_LIFE: f64 = 5e6;
-pub(super) const SPARE: f64 = 1.5;
+pub(super) const LEAST_LIFE: f64 = 3e6;
+pub(super) const SPARE: f64 = 1.2;
 /// Second tries that each request brings to the retry budget, and the most that it holds.
 pub(super) const RETRY_GAIN: f64 = 0.1;
 pub(super) const RETRY_MOST: f64 = 10.0;
