Let slowness fade while a member shows nothing

Cause: slowness was learnt from answers only; one slow answer lifted a member's load over the threshold for good while its peers idled, the likely cause of the flaky what_a_sick_registry_says_removes_nobody.

--- a/crates/core/src/router/health.rs
+++ b/crates/core/src/router/health.rs
@@ -35,7 +35,7 @@
         }
         if let Some(pace) = pace.filter(|_| matches!(verdict, Verdict::Cancelled | Verdict::Timeout)) {
             m.left.retain(|done| now < *done);
-            m.left.push(now + pace.takes(0.0).times(m.slow));
+            m.left.push(now + pace.takes(0.0).times(m.slowness(now)));
         }
         let before = m.ejections;
         match verdict {
@@ -94,8 +94,9 @@
         let Some((out, pace)) = out.zip(pace) else { return };
         let took = took.0 as f64;
         if verdict == Verdict::Ok || (verdict == Verdict::Timeout && !lost && took >= pace.mean) {
-            m.slow = (m.slow * SLOW_KEEPS + (1.0 - SLOW_KEEPS) * took / pace.mean.max(1.0))
-                .clamp(QUICKEST, SLOWEST);
+            let slow = m.slowness(now) * SLOW_KEEPS + (1.0 - SLOW_KEEPS) * took / pace.mean.max(1.0);
+            m.slow = slow.clamp(QUICKEST, SLOWEST);
+            m.slow_at = now;
             self.pace[out.class].learn(took);
         }
         // A lost answer beside quick ones says nothing of a crowd; beside slow ones it does.
@@ -115,7 +116,7 @@
         };
         let out: f64 = m.out.values().map(waits).sum();
         let left = self.in_work(m, now) - self.live(m, now);
-        (1.0 + out + left) * m.slow * (1.0 + ILL_COUNTS * m.ill)
+        (1.0 + out + left) * m.slowness(now) * (1.0 + ILL_COUNTS * m.ill)
     }
 
     pub(super) fn suspect(&self, m: &Member, now: Time) -> bool {
@@ -145,6 +146,12 @@
 }
 
 impl Member {
+    /// How slow it is, as far as that is still known: a member that gets nothing to answer shows nothing else.
+    pub(super) fn slowness(&self, now: Time) -> f64 {
+        let known = (-((now - self.slow_at).0 as f64) / MEMORY).exp();
+        1.0 + (self.slow - 1.0) * known
+    }
+
     pub(super) fn strike(&mut self, now: Time, weight: f64) {
         self.ill += (1.0 - self.ill) * weight;
         if self.ill >= EJECTED_AT && now >= self.ejected {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -44,6 +44,8 @@
     pub(crate) left: Vec<Time>,
     /// Its latency as a multiple of the class's usual.
     pub(crate) slow: f64,
+    /// When it last showed that.
+    pub(crate) slow_at: Time,
     pub(crate) ill: f64,
     pub(crate) ejections: u32,
     pub(crate) ejected: Time,
