--- a/crates/daemon/tests/peers/mod.rs
+++ b/crates/daemon/tests/peers/mod.rs
@@ -307,13 +307,14 @@
     file: std::path::PathBuf,
 }
 
-/// Starts the pooler on what `config` holds.
+/// Starts the pooler on what `config` holds: the built one, or the program that `LINNETDEAL` names.
 pub fn start(config: &str) -> (Child, std::path::PathBuf) {
     static NUMBER: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
     let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
     let file = std::env::temp_dir().join(format!("linnetdeal-{}-{number}.json", std::process::id()));
     std::fs::write(&file, config).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_linnetdeal"));
+    let program = std::env::var("LINNETDEAL").unwrap_or(env!("CARGO_BIN_EXE_linnetdeal").to_owned());
+    let mut command = Command::new(program);
     (command.env("GW_CONFIG", &file).stderr(Stdio::piped()).spawn().unwrap(), file)
 }
 
