Show a fresh router that trusts its clock before any primary has answered

At its first bounded read it asks all members where they stand; where its clock is behind and a replica that lags answers first, the read goes there.

--- a/crates/core/tests/clock.rs
+++ b/crates/core/tests/clock.rs
@@ -141,3 +141,36 @@
         assert!(sent >= 30, "{ago}: {sent} sends to a member that has been warm for half a second");
     }
 }
+
+#[test]
+fn a_router_that_has_just_begun_hears_the_primary_before_it_trusts_its_clock() {
+    // Its clock is five seconds behind; of the members that it asks at its first read a replica answers first, whose
+    // data is as old.
+    let mut host = Host::new(unchecked(), 0);
+    let entries = (1..=3).map(|at| Entry { primary: at == 1, ..entry(at) }).collect();
+    host.tell(Event::List(Listing::Full(entries)));
+    let (_, actions) = host.ask(READ);
+    assert!(sends(&actions).is_empty());
+    assert!(probes(&actions).contains(&member(1)), "the listed primary is asked: {actions:?}");
+    host.now = host.now + Span::millis(2);
+    assert_eq!(sends(&host.probed(2, false, 0)), [], "nobody has told of the present yet");
+    assert!(bounded(&mut host, 5).is_empty());
+    host.now = host.now + Span::millis(2);
+    let released = sends(&host.probed(1, true, -5_000));
+    assert!(!released.is_empty() && released.iter().all(|to| *to == member(1)), "{released:?}");
+    host.probed(3, false, -4_990);
+    let sent = bounded(&mut host, 40);
+    assert!(sent.contains(&member(3)) && !sent.contains(&member(2)), "{sent:?}");
+}
+
+#[test]
+fn a_primary_that_does_not_answer_holds_no_read_up_for_long() {
+    let mut host = Host::new(unchecked(), 0);
+    let entries = (1..=3).map(|at| Entry { primary: at == 1, ..entry(at) }).collect();
+    host.tell(Event::List(Listing::Full(entries)));
+    host.ask(READ);
+    host.now = host.now + Span::millis(2);
+    host.probed(2, false, 10);
+    let released = sends(&host.pass(300));
+    assert_eq!(released, [member(2)], "by the clock that there is");
+}
