Give a listed primary a moment to tell the present to a fresh router

Cause: until a primary has been heard the age of data is told by a clock that may have been set wrong. Open: a clock that is behind in a group whose listed primary does not answer within that time.

--- a/crates/core/src/router/mod.rs
+++ b/crates/core/src/router/mod.rs
@@ -28,6 +28,8 @@
     settings: Settings,
     rng: ChaCha8Rng,
     clock: FleetClock,
+    /// When the first read waited for a primary to tell the present.
+    primary_awaited: Option<Time>,
     /// The list has been told once: what comes after it are changes.
     has_list: bool,
     members: BTreeMap<MemberId, Member>,
@@ -69,6 +71,7 @@
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
             clock: FleetClock::default(),
+            primary_awaited: None,
             has_list: false,
             pace: settings.classes.iter().map(pace).collect(),
             classes: vec![Counts::default(); settings.classes.len()],
--- a/crates/core/src/router/placement.rs
+++ b/crates/core/src/router/placement.rs
@@ -15,6 +15,7 @@
         actions: &mut Vec<Action>,
     ) -> Option<MemberId> {
         let (dice, chance) = (self.rng.next_u32() as usize, self.chance());
+        let trusts_clock = self.trusts_clock(now, id);
         let open = self.open.get(&id)?;
         let need = self.need(now, open);
         let class = &self.settings.classes[open.class];
@@ -32,7 +33,7 @@
             2 * u8::from(tried) + u8::from(self.suspect(m, now))
         };
         let mut pool = replicas.clone();
-        pool.retain(|(_, m)| self.fit(m, need, now));
+        pool.retain(|(_, m)| trusts_clock && self.fit(m, need, now));
         let best = pool.iter().map(rank).min();
         pool.retain(|of| Some(rank(of)) == best && (best == Some(0) || primary.is_none()));
         let lagging = pool.is_empty() && self.settings.checks == Checks::Refuse;
@@ -71,6 +72,20 @@
         pick
     }
 
+    /// Whether the age of data can be told for this request. A router that has just begun knows the present by its own
+    /// clock alone; it gives a listed primary, which it asks anyway, a moment to tell it.
+    fn trusts_clock(&mut self, now: Time, id: RequestId) -> bool {
+        let Some(open) = self.open.get(&id) else { return true };
+        let bounded = matches!(self.settings.classes[open.class].need, Need::Bounded(_));
+        let asks = self.settings.probes && self.settings.checks == Checks::None;
+        if !bounded || !asks || self.clock.is_confirmed() {
+            return true;
+        }
+        let mut members = self.groups.get(&open.group).into_iter().flat_map(|group| &group.members);
+        let listed = members.any(|id| self.members[id].listed_primary && self.sendable(&self.members[id]));
+        !listed || now - *self.primary_awaited.get_or_insert(now) >= ASK_AGAIN_SOON
+    }
+
     /// The marked primary, while nothing speaks against it; otherwise the write waits for one to be shown.
     pub(super) fn place_write(
         &mut self,
