Play silent watches and new configurations in series on real processes

A watch that falls silent twice in a row is open a third time before what it missed counts (6 s), and of five SIGHUPs at once the last one's discovery is followed within 4 s. Both hold as they are; no test had played them.

--- a/crates/daemon/tests/crossings.rs
+++ b/crates/daemon/tests/crossings.rs
@@ -433,3 +433,61 @@
         assert_eq!(first.got().len() + second.got().len(), 1, "{code}: not sent again");
     }
 }
+
+/// What a silent watch misses counts as told so long after it fell silent.
+const SILENCE_COUNTS: std::time::Duration = std::time::Duration::from_secs(6);
+
+#[test]
+fn a_watch_that_falls_silent_twice_is_open_again_before_what_it_missed_counts() {
+    let (server, drains) = (plain("s-1", "replica"), plain("s-2", "replica"));
+    let discovery = Discovery::new();
+    let entries = vec![server.entry("up", "replica"), drains.entry("up", "replica")];
+    let pooler = Pooler::new(&discovery, entries);
+    let (_, first) = discovery.watch();
+    first.send(Some(list(42, false, Vec::new()))).unwrap();
+    let silent = std::time::Instant::now();
+    // The next is as silent, from its first byte on; the third tells.
+    let (_, second) = discovery.watch();
+    let (again, third) = discovery.watch();
+    assert!(again.contains("since=42"), "{again}");
+    third.send(Some(list(43, false, vec![drains.entry("draining", "replica")]))).unwrap();
+    assert!(silent.elapsed() < SILENCE_COUNTS, "{:?}", silent.elapsed());
+    let mut client = Client::connect(&pooler);
+    // The list may cross the first of these, within the grace of a drain.
+    client.ask(&menu("0"));
+    let sent = drains.got().len();
+    for at in 1..30 {
+        assert_eq!(client.ask(&menu(&at.to_string())).value.as_deref(), Some(&b"s-1"[..]));
+    }
+    assert_eq!(drains.got().len(), sent);
+    drop((first, second));
+}
+
+#[test]
+fn new_configurations_in_quick_succession_end_where_the_last_one_says() {
+    let server = plain("s-1", "replica");
+    let discoveries = [Discovery::new(), Discovery::new(), Discovery::new()];
+    let entries = || vec![server.entry("up", "replica")];
+    let pooler = Pooler::new(&discoveries[0], entries());
+    let (_, kept) = discoveries[0].watch();
+    for turn in [1, 2, 0, 1, 2] {
+        pooler.configure(&config(&discoveries[turn], entries(), 1_024));
+        pooler.signal("HUP");
+    }
+    let begun = std::time::Instant::now();
+    let drained = loop {
+        let (_, watch) = discoveries[2].watch();
+        let change = list(42, false, vec![server.entry("draining", "replica")]);
+        watch.send(Some(change)).unwrap();
+        let mut client = Client::connect(&pooler);
+        let refused = (0..50).any(|at| {
+            std::thread::sleep(std::time::Duration::from_millis(10));
+            client.ask(&menu(&format!("{at}")).replace("d=8000", "d=50")).value.is_none()
+        });
+        if refused {
+            break begun.elapsed();
+        }
+    };
+    assert!(drained.as_millis() < 4_000, "told within 4 s of the last signal: {drained:?}");
+    drop(kept);
+}
