Show a fresh router that serves nothing while all members are cold

A router that starts before a group whose members have all just started has served nothing, so that its share of their budgets is nothing, and nothing is served from which it would grow: 0 of 80 requests in 8 s.

--- a/crates/core/tests/slow_start.rs
+++ b/crates/core/tests/slow_start.rs
@@ -96,3 +96,39 @@
     }
     assert!(over.is_empty(), "routers, load, part of the budget: {over:?}");
 }
+
+#[test]
+fn a_fresh_router_begins_to_serve_from_members_that_have_all_just_started() {
+    // Nothing has been served by which to tell what they can; the page's budget allows a few calls all the same.
+    for fleet in [1, 3, 30] {
+        let settings = Settings { fleet, ..settings() };
+        let mut hosts: Vec<Host> =
+            (0..u64::from(fleet)).map(|seed| Host::seeded(seed, settings.clone(), 0)).collect();
+        let began = hosts[0].now;
+        for host in &mut hosts {
+            let started = Some(began);
+            let entries = (1..=3).map(|at| Entry { started, ..entry(at) }).collect();
+            host.tell(Event::List(Listing::Full(entries)));
+        }
+        let (mut served, mut asked) = (0, 0);
+        let mut first_window = [0_usize; 4];
+        // Ten requests a second, of the whole fleet.
+        for turn in 0..80_i64 {
+            let now = began + Span::millis(turn * 100);
+            let at = turn as usize % hosts.len();
+            let host = &mut hosts[at];
+            host.now = now;
+            let (id, actions) = host.ask_within(ANY, 400);
+            asked += 1;
+            if let Some(to) = sends(&actions).first() {
+                let at = (1..=3).find(|at| member(*at) == *to).unwrap();
+                first_window[at] += usize::from(now < began + settings.fall_span);
+                host.now = now + Span::millis(20);
+                host.end(id, 0, at, Verdict::Ok);
+                served += 1;
+            }
+        }
+        assert!(first_window.iter().all(|count| *count <= 3), "{fleet}: {first_window:?}");
+        assert!(served * 4 >= asked, "{fleet}: {served} of {asked} served in 8 s");
+    }
+}
