Leave a least budget for cold members while nothing has been served

Cause: a router's part of a cold member's budget goes by what it has served, and without that it was nothing until the member was warm.

--- a/crates/core/src/router/slow_start.rs
+++ b/crates/core/src/router/slow_start.rs
@@ -26,7 +26,9 @@
         let can = usual * if jammed { 1.0 } else { SPARE };
         // The budget is that of a whole window: it goes by how warm the member was at its beginning.
         let warmth = self.warmth(m, now - self.settings.fall_span);
-        let rate = can * self.settings.fall_multiple * warmth;
+        let window = self.settings.fall_span.0.max(1) as f64;
+        let least = LEAST_COLD_CALLS / window / f64::from(self.settings.fleet);
+        let rate = (can * self.settings.fall_multiple * warmth).max(least);
         (m.credit.1 + rate * (now - m.credit.0).0 as f64).min(1.0 + rate * COLD_BURST)
     }
 
