Show an attempt begun after its time, when the pooler was held up

A pooler that was held up (SIGSTOP, 0.3 s) past a request's deadline while its connection came up writes it all the same, with a wait of 1 ms: 5 of 5. One whose client left meanwhile is not begun, 5 of 5, which holds.

--- a/crates/daemon/tests/crossings.rs
+++ b/crates/daemon/tests/crossings.rs
@@ -491,3 +491,46 @@
     assert!(drained.as_millis() < 4_000, "told within 4 s of the last signal: {drained:?}");
     drop(kept);
 }
+
+/// Holds the pooler up while `meanwhile` happens, and for a while after.
+fn held_up(pooler: &Pooler, meanwhile: impl FnOnce()) {
+    pooler.signal("STOP");
+    meanwhile();
+    std::thread::sleep(std::time::Duration::from_millis(300));
+    pooler.signal("CONT");
+}
+
+#[test]
+fn nothing_is_begun_for_who_left_while_the_pooler_was_held_up() {
+    for round in 0..5 {
+        let (open, server) = late("s-1");
+        let discovery = Discovery::new();
+        let pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
+        let mut client = Client::connect(&pooler);
+        client.send(&menu("gone"));
+        assert!(counted(&pooler, " dials=1 "));
+        held_up(&pooler, || {
+            drop(client);
+            drop(open);
+        });
+        assert!(counted(&pooler, " gone=1 "));
+        assert_eq!(Client::connect(&pooler).ask(&menu("next")).value.as_deref(), Some(&b"s-1"[..]));
+        assert!(server.got().iter().all(|of| of.contains("id=next,")), "{round}: {:?}", server.got());
+    }
+}
+
+#[test]
+fn nothing_is_begun_whose_time_was_over_while_the_pooler_was_held_up() {
+    for round in 0..5 {
+        let (open, server) = late("s-1");
+        let discovery = Discovery::new();
+        let pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
+        let mut client = Client::connect(&pooler);
+        client.send(&menu("late").replace("d=8000", "d=200"));
+        assert!(counted(&pooler, " dials=1 "));
+        held_up(&pooler, || drop(open));
+        assert_eq!(client.answer().code.as_deref(), Some("53300"));
+        assert_eq!(client.ask(&menu("next")).value.as_deref(), Some(&b"s-1"[..]));
+        assert!(server.got().iter().all(|of| of.contains("id=next,")), "{round}: {:?}", server.got());
+    }
+}
