Write nothing whose time is over by the moment of writing

Cause: of a connection that comes up and a deadline that passed in one turn the first was polled first. Change: what is left of the wait is looked at just before the write, and nothing is written without any.

--- a/crates/net/src/upstream.rs
+++ b/crates/net/src/upstream.rs
@@ -402,8 +402,14 @@
             self.put_back(member, connection);
             return Err(Lost::Withdrawn);
         }
+        // Nor anything whose time is over: the process may have been held up.
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            self.put_back(member, connection);
+            return Err(Lost::Withdrawn);
+        }
         stage.set(Stage::Writing);
-        query.write(&connection.stream, until.saturating_duration_since(Instant::now())).await?;
+        query.write(&connection.stream, left).await?;
         stage.set(Stage::Sent);
         if let Query::Statement(_, sending) = query {
             sending.sent.set(true);
