--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -1,5 +1,5 @@
 //! Clients that go on asking on open connections until the earliest SIGKILL, while servers hang, break off and drain,
-//! signals come in series and, on some seeds, a crowd sits there idle. Each run is judged by the clauses of the pages.
+//! signals come in series and, on some seeds, a crowd sits there idle or the pooler is held up again and again. Each run is judged by the clauses of the pages.
 //!
 //! `SOAK_SEEDS=1-60` plays other seeds, `SOAK_SLACK_MS=40` grants the machine that runs it less time.
 
@@ -32,6 +32,10 @@
 const AFTER_CLOSE: Duration = Duration::from_millis(100);
 const AFTER_DEADLINE: Duration = Duration::from_millis(500);
 const WAIT_SLACK: Duration = Duration::from_millis(150);
+/// The pooler may be held up for 0.15 s at any time; the commands that do so take a part of that.
+const HELD_UP: Duration = Duration::from_millis(110);
+/// The least pause between two of these: one is not to become twice as long.
+const BETWEEN_HOLDS: u64 = 200;
 /// A close that comes this soon after a request has crossed it.
 const CROSSING: Duration = Duration::from_millis(60);
 
@@ -276,10 +280,24 @@
     }
 }
 
+/// Holds a process up, again and again, until it is told to stop.
+fn hold_up(process: u32, seed: u64, stop: Arc<AtomicBool>) {
+    let dice = Dice::new(seed);
+    let signal = |name: &str| {
+        let _ = std::process::Command::new("kill").args(["-s", name, &process.to_string()]).status();
+    };
+    while !stop.load(Ordering::Relaxed) {
+        std::thread::sleep(Duration::from_millis(BETWEEN_HOLDS + dice.below(200)));
+        signal("STOP");
+        std::thread::sleep(HELD_UP);
+        signal("CONT");
+    }
+}
+
 fn run(seed: u64, slack: Duration) -> Result<String, String> {
     let dice = Dice::new(seed);
     let ledger = Shared::default();
-    let deadline = [300, 1_000, 3_000][seed as usize % 3];
+    let deadline = [300, 1_000, 3_000][seed as usize / 3 % 3];
     let crowded = seed % 4 == 0;
     let servers: Vec<Server> = ["s-1", "s-2", "s-3", "s-4"]
         .into_iter()
@@ -321,6 +339,11 @@
             std::thread::spawn(move || asker.run())
         })
         .collect();
+    let holds = seed % 3 == 1;
+    let holder = holds.then(|| {
+        let (process, stop) = (pooler.child.id(), stop.clone());
+        std::thread::spawn(move || hold_up(process, seed, stop))
+    });
     let crowd: Vec<_> = (0..if crowded { IDLE_CROWD } else { 0 })
         .map(|_| {
             let mut client = Client::dial(&pooler, b"Q\0\0\0\x05\0");
@@ -356,6 +379,7 @@
     }
     let _ = pooler.child.kill();
     stop.store(true, Ordering::Relaxed);
+    let _ = holder.map(std::thread::JoinHandle::join);
     let panicked = askers.into_iter().filter_map(|asker| asker.join().err()).count();
     drop(crowd);
     let mut ledger = ledger.lock().unwrap();
@@ -367,7 +391,7 @@
         ledger.wrong.push(format!("{panicked} clients waited in vain"));
     }
     let figures = format!(
-        "seed {seed}: deadline {deadline} ms, crowd {crowded}: {} asked, {} answered, {} refused, {} crossed an end, {} begun",
+        "seed {seed}: deadline {deadline} ms, crowd {crowded}, held up {holds}: {} asked, {} answered, {} refused, {} crossed an end, {} begun",
         ledger.asked.len(),
         ledger.answered,
         ledger.refused.len(),
