Show a client that ends its sending and is closed without an answer

A client that shuts its sending side down and waits looks like one that closed; its request is rightly given up, but it was read and gets no answer.

--- a/crates/daemon/tests/crossings.rs
+++ b/crates/daemon/tests/crossings.rs
@@ -534,3 +534,18 @@
         assert!(server.got().iter().all(|of| of.contains("id=next,")), "{round}: {:?}", server.got());
     }
 }
+
+#[test]
+fn who_ends_its_sending_and_waits_is_told_that_its_request_ended() {
+    // Nothing tells the end of a client's sending from a close, so nothing more is begun for it; but it may listen.
+    let (open, server) = late("s-1");
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
+    for (statement, code) in [(menu("1"), "53300"), (top_up("2"), "53300")] {
+        let mut client = Client::connect(&pooler);
+        client.send(&statement);
+        client.0.stream.shutdown(Shutdown::Write).unwrap();
+        assert_eq!(client.answer().code.as_deref(), Some(code), "it was never sent to a server");
+    }
+    drop(open);
+}
