Answer a client that has ended its sending before its connection closes

Cause: the end of a client's sending was taken for its leaving, and its connection closed without a word. Change: the request is given up as before, and a last error says whether it may have run: 53300 if not, 08007 if so.

--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -41,6 +41,7 @@
 /// same thing, sent again as soon as it was turned away, would keep others waiting.
 const REST: Duration = Duration::from_millis(50);
 const MOST_ERRORS: u32 = 8;
+const REFUSED: &str = "refused, nothing is harmed by a retry";
 /// Refusals of commands that were passed over are written so many at a time.
 const REFUSALS: usize = 64;
 
@@ -567,7 +568,9 @@
         let answer = serve(&frontend.driver, &*frontend.pool, &asked, or(left, or(cancelled, ending))).await;
         let (class, need) = &frontend.classes[asked.class.0];
         let in_doubt = match &answer {
-            Final::Failed { at } | Final::Cancelled { at } => at.as_ref().filter(|_| *need == Need::Write),
+            Final::Failed { at } | Final::Cancelled { at } | Final::Gone { at } => {
+                at.as_ref().filter(|_| *need == Need::Write)
+            }
             _ => None,
         };
         if let Some(at) = in_doubt {
@@ -578,38 +581,31 @@
         self.answer(answer, out).await
     }
 
+    /// Writes the one answer to a request; false if the connection ends with it.
     async fn answer(&self, answer: Final<Reply>, out: &mut Vec<u8>) -> Result<bool, ClientError> {
-        match answer {
-            Final::Gone => return Ok(false),
+        let ends = matches!(answer, Final::Gone { .. });
+        let severity = if ends { Severity::Fatal } else { Severity::Error };
+        let (code, words, detail) = match answer {
             Final::Served(reply) => {
                 write::ready(out);
                 let pieces: Vec<&[u8]> = reply.pieces().chain([out.as_slice()]).collect();
                 self.send(&pieces).await?;
+                return Ok(true);
             }
-            Final::Refused(retry_after) => {
-                let ms = retry_after.map(retry_after_field);
-                write::error(
-                    out,
-                    Severity::Error,
-                    "53300",
-                    "refused, nothing is harmed by a retry",
-                    ms.as_deref(),
-                );
-                write::ready(out);
-                self.send(&[out]).await?;
-            }
-            Final::Failed { .. } => {
-                write::error(out, Severity::Error, "08007", "no answer; it may have been carried out", None);
-                write::ready(out);
-                self.send(&[out]).await?;
-            }
-            Final::Cancelled { .. } => {
-                write::error(out, Severity::Error, "57014", "canceled by its client", None);
-                write::ready(out);
-                self.send(&[out]).await?;
+            Final::Refused(retry_after) => ("53300", REFUSED, retry_after.map(retry_after_field)),
+            // It may have closed its own side only, and listen.
+            Final::Gone { at: None } => ("53300", REFUSED, None),
+            Final::Failed { .. } | Final::Gone { .. } => {
+                ("08007", "no answer; it may have been carried out", None)
             }
+            Final::Cancelled { .. } => ("57014", "canceled by its client", None),
+        };
+        write::error(out, severity, code, words, detail.as_deref());
+        if !ends {
+            write::ready(out);
         }
-        Ok(true)
+        self.send(&[out]).await?;
+        Ok(!ends)
     }
 }
 
--- a/crates/net/src/request.rs
+++ b/crates/net/src/request.rs
@@ -104,8 +104,11 @@
         /// The member.
         at: Option<MemberId>,
     },
-    /// Nobody is there to be told.
-    Gone,
+    /// The client has closed its connection, or its side of it. Named is the last member that may have run it, if one may.
+    Gone {
+        /// The member.
+        at: Option<MemberId>,
+    },
 }
 
 enum Turn<R> {
@@ -248,7 +251,7 @@
     match why {
         Cut::ClientLeft => {
             driver.counters.gone.add();
-            Final::Gone
+            Final::Gone { at: may_have_run }
         }
         Cut::Cancelled => {
             driver.counters.cancelled.add();
--- a/crates/net/tests/request.rs
+++ b/crates/net/tests/request.rs
@@ -80,7 +80,7 @@
         // Both are there by the next look, as after the process was held up.
         left.set(true);
         let answer = poll_once(serving.as_mut()).await;
-        assert!(matches!(answer, Some(Final::Gone)), "{answer:?}");
+        assert!(matches!(answer, Some(Final::Gone { at: None })), "{answer:?}");
         assert!(!carrier.written.get(), "nothing is begun for who has gone");
     });
 }
