Show a request written to a member that has changed its group

What waits for its connection is written though the list has moved the member to another group meanwhile.

--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -822,3 +822,16 @@
     assert!(since_slow > 500);
     assert!(again > since_slow / 20, "{again} of {since_slow} reads");
 }
+
+#[test]
+fn a_member_that_changes_its_group_is_sent_nothing_for_the_one_before() {
+    let mut host = Host::new(settings(), 2);
+    let (id, actions) = host.ask(ANY);
+    let at = if sends(&actions) == [member(1)] { 1 } else { 2 };
+    let moved = Entry { group: GroupId(7), ..entry(at) };
+    host.tell(Event::List(Listing::Changes(vec![moved])));
+    assert!(!host.router.still_fit(host.now, id, &member(at)), "nor what waits for its connection");
+    for _ in 0..20 {
+        assert!(!sends(&host.ask(ANY).1).contains(&member(at)));
+    }
+}
--- a/crates/daemon/tests/crossings.rs
+++ b/crates/daemon/tests/crossings.rs
@@ -549,3 +549,24 @@
     }
     drop(open);
 }
+
+#[test]
+fn a_member_that_listens_elsewhere_gets_nothing_more_where_it_was() {
+    let (before, after) = (plain("s-1", "replica"), plain("s-1", "replica"));
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![before.entry("up", "replica")]);
+    let (_, watch) = discovery.watch();
+    let mut client = Client::connect(&pooler);
+    for at in 0..5 {
+        assert!(client.ask(&menu(&at.to_string())).value.is_some());
+    }
+    watch.send(Some(list(42, false, vec![after.entry("up", "replica")]))).unwrap();
+    watch.send(None).unwrap();
+    let (again, _) = discovery.watch();
+    assert!(again.contains("since=42"), "it is taken in: {again}");
+    let sent = before.got().len();
+    for at in 5..15 {
+        assert!(client.ask(&menu(&at.to_string())).value.is_some());
+    }
+    assert_eq!((before.got().len(), after.got().len()), (sent, 10), "kept connections lead nowhere any more");
+}
