--- a/crates/core/src/router/requests.rs
+++ b/crates/core/src/router/requests.rs
@@ -108,7 +108,7 @@
     pub fn still_fit(&self, now: Time, id: RequestId, member: &MemberId) -> bool {
         let Some((open, m)) = self.open.get(&id).zip(self.members.get(member)) else { return false };
         let write = self.settings.classes[open.class].need == Need::Write;
-        write || m.role() == PRIMARY || self.fit(m, self.need(now, open), now)
+        m.group == open.group && (write || m.role() == PRIMARY || self.fit(m, self.need(now, open), now))
     }
 
     /// Whether a member may be sent anything new, as the list has it by now.
