--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -1,7 +1,8 @@
 //! Clients that go on asking on open connections until the earliest SIGKILL, while servers hang, break off and drain,
 //! signals come in series and, on some seeds, a crowd sits there idle or the pooler is held up again and again. Each run is judged by the clauses of the pages.
 //!
-//! `SOAK_SEEDS=1-60` plays other seeds, `SOAK_SLACK_MS=40` grants the machine that runs it less time.
+//! `SOAK_SEEDS=1-60` plays other seeds, `SOAK_SLACK_MS=40` grants the machine that runs it less time, and
+//! `SOAK_QUIET_S=60` has all clients rest for so long before the trouble begins.
 
 mod peers;
 
@@ -140,6 +141,7 @@
     crowded: bool,
     slack: Duration,
     stop: Arc<AtomicBool>,
+    quiet: Arc<AtomicBool>,
     ledger: Shared,
     number: u64,
 }
@@ -175,6 +177,9 @@
             }
             while !self.stop.load(Ordering::Relaxed) && self.turn(&mut client) {
                 std::thread::sleep(Duration::from_millis(self.dice.below(8)));
+                while self.quiet.load(Ordering::Relaxed) {
+                    std::thread::sleep(Duration::from_millis(5));
+                }
             }
         }
     }
@@ -323,6 +328,7 @@
         .collect();
     let mut pooler = Pooler::on(&texts[0]);
     let stop = Arc::new(AtomicBool::new(false));
+    let quiet = Arc::new(AtomicBool::new(false));
     let askers: Vec<_> = (0..CLIENTS)
         .map(|at| {
             let asker = Asker {
@@ -333,6 +339,7 @@
                 crowded,
                 slack,
                 stop: stop.clone(),
+                quiet: quiet.clone(),
                 ledger: ledger.clone(),
                 number: 0,
             };
@@ -354,6 +361,10 @@
 
     // Signals in series, while discovery moves; then a replica drains by the word of where it moved to.
     std::thread::sleep(BEFORE / 2);
+    let seconds = std::env::var("SOAK_QUIET_S").map_or(0, |text| text.parse().unwrap());
+    quiet.store(seconds > 0, Ordering::Relaxed);
+    std::thread::sleep(Duration::from_secs(seconds));
+    quiet.store(false, Ordering::Relaxed);
     for turn in 1..=1 + dice.below(3) as usize * 2 {
         pooler.configure(&texts[turn % 2]);
         pooler.signal("HUP");
