Split the frontend into accepting, one client, and sessions

Its parts stand unchanged in frontend.rs, client.rs and sessions.rs; the stage of an end in which nobody is accepted any more is called so.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,6 +1,7 @@
 //! The daemon: the decisions on real sockets. One executor on one thread carries all tasks.
 
 pub mod buffer;
+mod client;
 pub mod clock;
 pub mod config;
 pub mod counters;
@@ -17,6 +18,7 @@
 mod read_ahead;
 mod reload;
 pub mod request;
+mod sessions;
 pub mod shutdown;
 pub mod signals;
 pub mod slots;
@@ -115,7 +117,7 @@
             doubts,
             longest_deadline,
             open_ids: RefCell::default(),
-            sessions: frontend::Sessions::default(),
+            sessions: sessions::Sessions::default(),
             full_retry_after,
             ahead: Rc::new(read_ahead::Shared::new(SCRATCH)),
         };
--- a/crates/net/src/life.rs
+++ b/crates/net/src/life.rs
@@ -10,7 +10,7 @@
     /// Idle clients are closed.
     pub closing: Flag,
     /// Nobody is accepted any more.
-    pub deaf: Flag,
+    pub not_accepting: Flag,
     /// What is open gets its answer now.
     pub ending: Flag,
     /// All is done.
--- a/crates/net/src/shutdown.rs
+++ b/crates/net/src/shutdown.rs
@@ -31,7 +31,7 @@
     /// Idle clients are closed.
     pub closing: Duration,
     /// Nobody is accepted any more.
-    pub deaf: Duration,
+    pub not_accepting: Duration,
     /// What is open gets its answer.
     pub ending: Duration,
     /// The process ends.
@@ -46,8 +46,8 @@
         // Accepting goes before the margin, the last answers before accepting.
         let ending = (kill - MARGIN).max(ARRIVALS).min(kill - FLUSH - LEAST_MARGIN);
         let closing = ending.saturating_sub(PARTING).max(ARRIVALS).min(ending);
-        let deaf = (closing + STRAGGLERS).min(ending);
-        Self { closing, deaf, ending, ended: ending + FLUSH }
+        let not_accepting = (closing + STRAGGLERS).min(ending);
+        Self { closing, not_accepting, ending, ended: ending + FLUSH }
     }
 
     /// The earliest SIGKILL.
@@ -76,8 +76,8 @@
         tracing::info!("draining with {} clients connected", self.slots.taken());
         Timer::at(started + schedule.closing).await;
         self.life.closing.raise();
-        Timer::at(started + schedule.deaf).await;
-        self.life.deaf.raise();
+        Timer::at(started + schedule.not_accepting).await;
+        self.life.not_accepting.raise();
         self.clients_left(started + schedule.ending).await;
         self.life.ending.raise();
         self.clients_left(started + schedule.ended).await;
--- a/crates/net/tests/shutdown.rs
+++ b/crates/net/tests/shutdown.rs
@@ -12,9 +12,12 @@
 fn the_stages_of_an_end_follow_each_other_and_leave_time_for_the_last_answers() {
     for ms in (0..5_000).step_by(10) {
         let deadline = Duration::from_millis(ms);
-        let Schedule { closing, deaf, ending, ended } = Schedule::new(deadline);
+        let Schedule { closing, not_accepting, ending, ended } = Schedule::new(deadline);
         assert!(ARRIVALS <= closing, "{ms}: who still comes is served");
-        assert!(closing <= deaf && deaf <= ending, "{ms}: {closing:?} {deaf:?} {ending:?}");
+        assert!(
+            closing <= not_accepting && not_accepting <= ending,
+            "{ms}: {closing:?} {not_accepting:?} {ending:?}"
+        );
         assert!(ending + HELD_UP <= ended, "{ms}: last answers from {ending:?} to {ended:?}");
         assert!(ended <= Schedule::earliest_kill(deadline), "{ms}: {ended:?}");
     }
