--- a/crates/net/src/pg/skip.rs
+++ b/crates/net/src/pg/skip.rs
@@ -23,7 +23,7 @@
     /// # Errors
     ///
     /// When they hold a message that is neither a query nor the end of the session, or has an impossible length.
-    pub fn skip(&mut self, mut bytes: &[u8]) -> Result<(), PgError> {
+    pub fn advance(&mut self, mut bytes: &[u8]) -> Result<(), PgError> {
         while !bytes.is_empty() && !self.ended {
             if self.known < HEAD {
                 let count = bytes.len().min(HEAD - self.known);
--- a/crates/net/src/read_ahead.rs
+++ b/crates/net/src/read_ahead.rs
@@ -88,7 +88,7 @@
 
     fn take(&mut self, bytes: &[u8]) {
         if self.spoilt.is_none() {
-            self.spoilt = self.skipper.skip(bytes).err();
+            self.spoilt = self.skipper.advance(bytes).err();
         }
         if self.skipper.queries() > MOST_PASSED_OVER {
             self.spoilt = Some(PgError::Malformed("stream of commands"));
--- a/crates/net/tests/parsers.rs
+++ b/crates/net/tests/parsers.rs
@@ -47,14 +47,14 @@
         data.extend_from_slice(&begun[..rest]);
         let mut skipper = pg::Skipper::default();
         for bytes in data.chunks(piece) {
-            prop_assert_eq!(skipper.skip(bytes), Ok(()));
+            prop_assert_eq!(skipper.advance(bytes), Ok(()));
         }
         prop_assert_eq!(skipper.take_queries(), sizes.len());
         prop_assert_eq!((skipper.is_between(), skipper.has_ended()), (rest == 0, false));
-        prop_assert_eq!(skipper.skip(&begun[rest..]), Ok(()));
+        prop_assert_eq!(skipper.advance(&begun[rest..]), Ok(()));
         prop_assert_eq!((skipper.take_queries(), skipper.is_between()), (1, true));
-        prop_assert!(skipper.clone().skip(b"P\0\0\0\x08").is_err(), "not a query");
-        prop_assert!(skipper.skip(b"Q\x7f\0\0\0").is_err(), "an impossible length");
+        prop_assert!(skipper.clone().advance(b"P\0\0\0\x08").is_err(), "not a query");
+        prop_assert!(skipper.advance(b"Q\x7f\0\0\0").is_err(), "an impossible length");
     }
 
     #[test]
