--- a/crates/daemon/tests/crossings.rs
+++ b/crates/daemon/tests/crossings.rs
@@ -570,3 +570,20 @@
     }
     assert_eq!((before.got().len(), after.got().len()), (sent, 10), "kept connections lead nowhere any more");
 }
+
+#[test]
+fn who_has_next_to_no_time_left_is_answered_at_once() {
+    let server = plain("s-1", "master");
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![server.entry("up", "master")]);
+    let mut client = Client::connect(&pooler);
+    for wait in ["d=0", "d=1", "d=5", "d=0.5"] {
+        for statement in [menu(wait.trim_start_matches("d=")), top_up("w")] {
+            let begun = std::time::Instant::now();
+            let answer = client.ask(&statement.replace("id=0.5", "id=half").replace("d=8000", wait));
+            assert!(answer.tags.ends_with('Z') && answer.tags != "Z", "{wait}: {answer:?}");
+            assert!(begun.elapsed().as_millis() < 500, "{wait}: {:?}", begun.elapsed());
+        }
+    }
+    assert_eq!(client.ask(&menu("last")).value.as_deref(), Some(&b"s-1"[..]));
+}
