--- a/crates/net/src/config.rs
+++ b/crates/net/src/config.rs
@@ -48,6 +48,20 @@
     Seed(String),
 }
 
+impl ConfigError {
+    /// Whether the file may be readable a moment later: it could not be read, or breaks off as one does that is just
+    /// being written. One that is whole stays as it is.
+    #[must_use]
+    pub fn may_pass(&self) -> bool {
+        match self {
+            Self::Read { .. } => true,
+            Self::Json(error) => error.is_eof() || error.is_syntax(),
+            Self::In { error, .. } => error.may_pass(),
+            Self::Settings(_) | Self::Sockets(_) | Self::Seed(_) => false,
+        }
+    }
+}
+
 /// The configuration of a pooler.
 #[derive(Clone, Debug)]
 pub struct Config {
--- a/crates/net/src/reload.rs
+++ b/crates/net/src/reload.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// How long a file that can't be used is read again: it may be being replaced, and what its discovery has to tell
+/// How long a file that can't be read, or not whole, is read again: it may be being replaced, and what its discovery has to tell
 /// counts as told 4 s after the signal.
 const PATIENCE: Duration = Duration::from_secs(3);
 /// The pause before it is read again; each is twice the one before.
@@ -32,7 +32,7 @@
 
     /// Reads the configuration again and follows discovery where it says. All else in it holds from the next start;
     /// the list that is held, the connections and the open requests stay as they are. A file that can't be used
-    /// changes nothing; it is read again for a while, or until the next signal.
+    /// changes nothing; one that may just be being replaced is read again for a while, or until the next signal.
     pub(crate) async fn reload(self: Rc<Self>) {
         let (started, number) = (Instant::now(), self.asked.get() + 1);
         self.asked.set(number);
@@ -41,12 +41,14 @@
         while self.asked.get() == number {
             match Config::load(&self.file) {
                 Ok(config) => return self.follow(&config),
-                Err(_) if started.elapsed() >= PATIENCE => return,
-                Err(error) if !told => {
-                    tracing::warn!("configuration kept as it was: {error}");
-                    told = true;
+                Err(error) => {
+                    if !std::mem::replace(&mut told, true) {
+                        tracing::warn!("configuration kept as it was: {error}");
+                    }
+                    if !error.may_pass() || started.elapsed() >= PATIENCE {
+                        return;
+                    }
                 }
-                Err(_) => {}
             }
             Timer::after(pause).await;
             pause *= 2;
