--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -33,8 +33,8 @@
 const AFTER_CLOSE: Duration = Duration::from_millis(100);
 const AFTER_DEADLINE: Duration = Duration::from_millis(500);
 const WAIT_SLACK: Duration = Duration::from_millis(150);
-/// The pooler may be held up for 0.15 s at any time; the commands that do so take a part of that.
-const HELD_UP: Duration = Duration::from_millis(110);
+/// The pooler may be held up for 0.15 s at any time; the commands that do so take 10 ms of that, measured.
+const HELD_UP: Duration = Duration::from_millis(140);
 /// The least pause between two of these: one is not to become twice as long.
 const BETWEEN_HOLDS: u64 = 200;
 /// A close that comes this soon after a request has crossed it.
