--- a/crates/core/src/router/fleet_clock.rs
+++ b/crates/core/src/router/fleet_clock.rs
@@ -1,5 +1,5 @@
-//! The clock that positions, commits and starts are told in. This router's own clock measures spans; what it was set to
-//! may be off by seconds or by an hour, and shows only where the fleet tells of the present.
+//! The clock that positions, commits and starts are told in. This router's own clock measures spans; what it
+//! was set to may be off by seconds or by an hour, and shows only where the fleet tells of the present.
 
 use crate::interface::{Span, Time};
 use crate::state::NEVER;
@@ -55,14 +55,15 @@
         true
     }
 
-    /// A primary said where it stood after a question that took so long: there, or a little later, is the present.
+    /// A primary said where it stood after a question that took so long: there, or a little later, is the
+    /// present.
     pub(super) fn heard_primary(&mut self, own: Time, position: Time, took: Span) {
         self.confirmed |= self.at(own) - position <= TOLERANCE + took;
     }
 
-    /// A write was committed after it was sent so long ago: the present is no later than that after its commit. Gives
-    /// whether the clock was ahead and has been set back. No further than to what others told: data that is too old
-    /// must not come to look fresh.
+    /// A write was committed after it was sent so long ago: the present is no later than that after its
+    /// commit. Gives whether the clock was ahead and has been set back. No further than to what others told:
+    /// data that is too old must not come to look fresh.
     pub(super) fn heard_commit(&mut self, own: Time, commit: Time, took: Span) -> bool {
         let error = self.at(own) - (commit + took).max(self.latest);
         if error > LARGEST_ERROR {
--- a/crates/core/src/router/health.rs
+++ b/crates/core/src/router/health.rs
@@ -146,7 +146,8 @@
 }
 
 impl Member {
-    /// How slow it is, as far as that is still known: a member that gets nothing to answer shows nothing else.
+    /// How slow it is, as far as that is still known: a member that gets nothing to answer shows nothing
+    /// else.
     pub(super) fn slowness(&self, now: Time) -> f64 {
         let known = (-((now - self.slow_at).0 as f64) / MEMORY).exp();
         1.0 + (self.slow - 1.0) * known
--- a/crates/core/src/router/mod.rs
+++ b/crates/core/src/router/mod.rs
@@ -1,4 +1,5 @@
-//! Every decision of the pooler. The types, events and actions stand in `interface.rs`, the plain state in `state.rs`.
+//! Every decision of the pooler. The types, events and actions stand in `interface.rs`, the plain state in
+//! `state.rs`.
 //!
 //! Wu and Kemme's mechanism: a read goes to a random member fresh enough; if that is over the threshold, to
 //! the first under it of the next `FORWARD`. A write goes to the mark, walks on proof, and is then held.
--- a/crates/core/src/router/placement.rs
+++ b/crates/core/src/router/placement.rs
@@ -72,8 +72,8 @@
         pick
     }
 
-    /// Whether the age of data can be told for this request. A router that has just begun knows the present by its own
-    /// clock alone; it gives a listed primary, which it asks anyway, a moment to tell it.
+    /// Whether the age of data can be told for this request. A router that has just begun knows the present
+    /// by its own clock alone; it gives a listed primary, which it asks anyway, a moment to tell it.
     fn trusts_clock(&mut self, now: Time, id: RequestId) -> bool {
         let Some(open) = self.open.get(&id) else { return true };
         let bounded = matches!(self.settings.classes[open.class].need, Need::Bounded(_));
--- a/crates/core/src/router/shedding.rs
+++ b/crates/core/src/router/shedding.rs
@@ -1,4 +1,5 @@
-//! Crowding, which is what the whole fleet's work does to a group and few answers tell of, and what is turned away for it.
+//! Crowding, which is what the whole fleet's work does to a group and few answers tell of, and what is turned
+//! away for it.
 
 use super::Router;
 use super::tuning::*;
--- a/crates/core/src/router/tuning.rs
+++ b/crates/core/src/router/tuning.rs
@@ -68,8 +68,8 @@
 pub(super) const COLD_BURST: f64 = 1e5;
 pub(super) const LEAST_LIFE: f64 = 3e6;
 pub(super) const SPARE: f64 = 1.2;
-/// What all routers together may send a cold member in one window, though they know nothing of what it can: the budget
-/// has room for three, and without any nothing would be answered from which to tell.
+/// What all routers together may send a cold member in one window, though they know nothing of what it can:
+/// the budget has room for three, and without any nothing would be answered from which to tell.
 pub(super) const LEAST_COLD_CALLS: f64 = 1.5;
 /// Second tries that each request brings to the retry budget, and the most that it holds.
 pub(super) const RETRY_GAIN: f64 = 0.1;
