Make room for a client only once it has come, and grant a slot only once it is given up

Callers saw: at the connection limit a welcomed client's connection was closed with its first request unread, so that a client that sends nothing again waits for ever; or one client more was let in than there are slots. Cause: the accept loop made room before anyone had connected, and an eviction freed the slot when it was decided, not when the connection's task gave it up; a task that could read the request after all counted its slot again, and the room had been given away. Connections that were being rejected or closed counted as clients, so that the end of one admitted another though all slots were taken. Change: accept first, within the limit on open connections; ask a connection to go and wait for its answer, which is a last read; served clients and open connections are two counts. A client to be rejected takes a slot that is free by the time its startup has arrived. New counter evicted_connections. Why it works: a slot is counted from its grant to the end of service and granted by one synchronous check, so no eviction can be granted twice; no eviction has a cause but a client that is there.

--- a/crates/pooler/tests/sockets/connection_limits.rs
+++ b/crates/pooler/tests/sockets/connection_limits.rs
@@ -3,7 +3,7 @@
 use crate::support::*;
 use std::io::Read;
 use std::net::TcpStream;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Few descriptors: 12 are kept aside, 13 go to servers, 8 to clients that are rejected, 15 to clients.
 const FEW_SOCKETS: usize = 48;
@@ -52,6 +52,42 @@
     assert!(pooler.counters().contains(" outcome.connection_refused=0 "), "no endpoint is blamed");
 }
 
+#[test]
+fn at_the_connection_limit_no_client_is_evicted_while_no_other_has_connected() {
+    let (gate, server) = FakeServer::with_gated_responses("s-1");
+    let pooler = start_with_few_sockets(&server);
+    let mut last = Client::connect(&pooler);
+    let mut busy: Vec<Client> = (0..14).map(|number| busy_client(&pooler, &number.to_string())).collect();
+    pooler.wait_for_counter(" requests=14 ");
+    // All slots are taken, and this client has had its own for longest without a request.
+    last.send_query(&read_statement("15"));
+    assert!(pooler.counts(" requests=15 "), "its connection was closed");
+    busy.push(last);
+    gate.open();
+    assert!(busy.iter_mut().all(|client| client.read_response().is_ready()));
+    assert!(pooler.counters().contains(" evicted_connections=0 "));
+}
+
+#[test]
+fn a_rejected_client_that_stays_makes_no_room_for_another() {
+    let FullPooler { gate, _server, pooler, mut clients } = FullPooler::start(|config| config);
+    let rejected: Vec<Client> = (0..4)
+        .map(|number| {
+            let mut client = Client::connect_with(&pooler, b"");
+            assert_eq!(client.read_response().sql_state(), Some("53300"), "rejected client {number}");
+            // Longer than it has to be rejected before its connection may be closed for others.
+            let rejected_at = Instant::now();
+            while rejected_at.elapsed() < Duration::from_millis(30) {
+                pooler.counters();
+            }
+            client
+        })
+        .collect();
+    gate.open();
+    assert!(clients.iter_mut().all(|client| client.read_response().value.is_some()));
+    drop(rejected);
+}
+
 #[test]
 fn clients_that_send_nothing_evict_nobody_and_are_closed() {
     let server = FakeServer::answering("s-1", "replica");
--- a/crates/proxy/src/assembly.rs
+++ b/crates/proxy/src/assembly.rs
@@ -95,11 +95,12 @@
         let directory = Rc::new(EndpointDirectory::default());
         let budget = SocketBudget::new(config.sockets);
         let pool = Pool::new(router.clone(), directory.clone(), config.proxy.clone(), budget.servers);
-        let slots = ConnectionSlots::new(SlotLimits {
+        let slot_limits = SlotLimits {
             clients: budget.clients,
             rejected: budget.rejected_clients,
             established: budget.established_clients,
-        });
+        };
+        let slots = ConnectionSlots::new(slot_limits, counters.clone());
         let in_doubt_writes = Rc::new(InDoubtWrites::default());
         let status_report = Rc::new(StatusReport::new(counters.clone()));
         status_report.add_section(in_doubt_writes.clone());
@@ -131,7 +132,7 @@
             reloader: Rc::new(Reloader::new(config_file, self.discovery.clone(), self.counters.clone())),
             shutdown: Shutdown {
                 stages: self.stages.clone(),
-                connected_clients: Box::new(move || slots.in_use()),
+                connected_clients: Box::new(move || slots.open_connections()),
                 longest_deadline: config.proxy.longest_deadline,
             },
         }
--- a/crates/proxy/src/client/accept.rs
+++ b/crates/proxy/src/client/accept.rs
@@ -1,11 +1,11 @@
 //! Accepting clients within the limits of their number; each session runs in a task of its own.
 
-use crate::client::connection_slots::{Admission, EvictionClass};
+use crate::client::connection_slots::{Admission, EvictionClass, Slot};
 use crate::client::context::ClientContext;
 use crate::client::session::ClientSession;
 use crate::resource_exhaustion::is_resource_exhaustion;
 use async_io::{Async, Timer};
-use futures_lite::future::{or, poll_once, yield_now};
+use futures_lite::future::{or, yield_now};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -33,34 +33,41 @@
 pub(crate) async fn run(context: Rc<ClientContext>, listener: Async<TcpListener>) {
     loop {
         let accepted = async { Some(accept_one(&context, &listener).await) };
-        let not_accepting = async {
-            context.shutdown_stages.not_accepting.wait().await;
-            None
-        };
-        match or(accepted, not_accepting).await {
+        match or(accepted, not_accepting(&context, None)).await {
             None => return,
-            Some(Ok((stream, admission))) => {
-                spawn_session(&context, stream, admission);
+            Some(Ok((stream, slot))) => {
+                // A client that was accepted is answered, even if the shutdown comes first.
+                let admission = or(slot.admit(), not_accepting(&context, Admission::Rejected)).await;
+                spawn_session(&context, stream, slot, admission);
                 // A flood of connections must not hold up the clients that are connected.
                 yield_now().await;
             }
-            Some(Err(error)) => pause_after_error(&context, &error).await,
+            Some(Err(error)) => {
+                or(pause_after_error(&context, &error), not_accepting(&context, ())).await;
+            }
         }
     }
 }
 
-/// Accepts one client, once there is room for it or it can be told that there is none.
+/// Gives `result` once the shutdown closes the listener.
+async fn not_accepting<T>(context: &ClientContext, result: T) -> T {
+    context.shutdown_stages.not_accepting.wait().await;
+    result
+}
+
+/// Accepts one client, once one more connection may be open. This is the only place that opens any, so that it may be
+/// still when the client has come.
 async fn accept_one(
     context: &ClientContext,
     listener: &Async<TcpListener>,
-) -> io::Result<(Async<TcpStream>, Admission)> {
-    let mut admission = context.slots.wait_for_room().await;
-    let (stream, _) = listener.accept().await?;
-    // Much time may have passed until a client connected.
-    if admission == Admission::Rejected {
-        admission = poll_once(context.slots.wait_for_room()).await.unwrap_or(Admission::Rejected);
+) -> io::Result<(Async<TcpStream>, Slot)> {
+    if context.slots.is_open_limit_reached() {
+        // Others are closed only for a client that is there.
+        listener.readable().await?;
+        context.slots.wait_until_one_more_may_open().await;
     }
-    Ok((stream, admission))
+    let (stream, _) = listener.accept().await?;
+    Ok((stream, context.slots.open()))
 }
 
 /// Pauses after an error, so that one that lasts keeps the accept loop neither busy nor from going on.
@@ -73,19 +80,18 @@
     // Closing an idle connection frees a descriptor.
     context.counters.resource_waits.increment();
     if !context.pool.close_one_idle() {
-        context.slots.evict_one(EvictionClass::Closing..=EvictionClass::Idle);
+        context.slots.evict_one(EvictionClass::Unserved..=EvictionClass::Idle).await;
     }
     Timer::after(EXHAUSTED_PAUSE).await;
 }
 
-fn spawn_session(context: &Rc<ClientContext>, stream: Async<TcpStream>, admission: Admission) {
+fn spawn_session(context: &Rc<ClientContext>, stream: Async<TcpStream>, slot: Slot, admission: Admission) {
     context.counters.client_connections.increment();
     // With Nagle's algorithm, a response held back until the one before is acknowledged would be lost with a connection
     // that breaks. Where the option can't be set the connection is closed already, which its first read reports.
     let _ = stream.get_ref().set_nodelay(true);
     let session_context = context.clone();
     let task = async move {
-        let slot = session_context.slots.occupy();
         // An error on one client's connection concerns no other: the connection is closed.
         let _ = ClientSession::new(&session_context, stream, slot).run(admission).await;
     };
--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -1,7 +1,7 @@
 //! The connection of one client: reading, writing and closing within time limits.
 
 use crate::buffer::{ReadBuffer, write_all};
-use crate::client::connection_slots::{EvictionClass, Slot};
+use crate::client::connection_slots::{Admission, EvictionClass, Slot};
 use crate::client::context::ClientContext;
 use crate::client::errors::{ClientError, ErrorReply};
 use crate::client::read_ahead::{NextSkipped, ReadAhead};
@@ -57,7 +57,7 @@
     // Declared before the slot: the descriptor is closed before the slot counts as free.
     stream: Async<TcpStream>,
     buffer: ReadBuffer,
-    slot: Slot<'a>,
+    slot: Slot,
     phase: SessionPhase,
     /// When the client occupied its slot, or last received a response.
     waiting_since: Instant,
@@ -67,7 +67,7 @@
 
 impl<'a> ClientConnection<'a> {
     /// A connection that has just been accepted.
-    pub(super) fn new(context: &'a ClientContext, stream: Async<TcpStream>, slot: Slot<'a>) -> Self {
+    pub(super) fn new(context: &'a ClientContext, stream: Async<TcpStream>, slot: Slot) -> Self {
         Self {
             context,
             stream,
@@ -85,6 +85,11 @@
         &mut self.buffer
     }
 
+    /// Admits a client that was to be rejected, if there is room by now.
+    pub(super) fn try_admit(&self) -> Admission {
+        self.slot.try_admit()
+    }
+
     /// Enters the next phase of the session.
     pub(super) fn enter_phase(&mut self, phase: SessionPhase) {
         self.phase = phase;
@@ -208,6 +213,7 @@
             return Ok(());
         }
         self.write_closed = true;
+        self.slot.end_service();
         self.stream.get_ref().shutdown(Shutdown::Write)?;
         self.buffer = ReadBuffer::default();
         let closed_by_client = async {
@@ -220,7 +226,7 @@
             Timer::after(linger).await;
         };
         let work = or(closed_by_client, or(timeout, self.context.shutdown_stages.terminated.wait()));
-        self.slot.while_evictable(EvictionClass::Closing, Instant::now(), work).await;
+        self.slot.while_evictable(EvictionClass::Unserved, Instant::now(), work).await;
         Ok(())
     }
 }
--- a/crates/proxy/src/client/connection_slots.rs
+++ b/crates/proxy/src/client/connection_slots.rs
@@ -1,12 +1,18 @@
-//! The slots of client connections: how many there are, and which connection is evicted to make room for a new one.
+//! The slots of client connections: how many clients are served, and which connection is evicted to make room for a
+//! client that has connected.
 //!
-//! A client with a request in flight keeps its slot. Of the others, those whose connections are closing anyway are
-//! evicted first, then those that have made no request yet, oldest first, then those that have been idle longest.
-//! Clients that have made no request share a part of the slots among themselves, so that a flood of connections without
-//! a request evicts none but its own. Clients that have made requests are limited as well: where each client may hold
-//! only so many connections, those that make one request and keep their connections would leave none for others.
+//! Every open connection counts against one limit, those that are being rejected or closed too. A client that is served
+//! holds a slot from its admission to the moment at which its session is over. A connection is evicted by asking its
+//! task: the task refuses if bytes can be read, and the slot is free only once the task has given it up.
+//!
+//! A client with a request in flight keeps its slot. Of the others, those that have made no request yet are evicted
+//! first, oldest first, then those that have been idle longest. Clients that have made no request share a part of the
+//! slots among themselves, so that a flood of connections without a request evicts none but its own. Clients that have
+//! made requests are limited as well: where each client may hold only so many connections, those that make one request
+//! and keep their connections would leave none for others.
 
 use crate::latch::Latch;
+use crate::metrics::Counters;
 use async_io::Timer;
 use event_listener::Event;
 use futures_lite::future::or;
@@ -22,8 +28,8 @@
 /// How readily the connection of a client without a request in flight is evicted, the readiest first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum EvictionClass {
-    /// The pooler has already told the client that it closes the connection.
-    Closing,
+    /// The client holds no slot: it is being rejected, or its session is over.
+    Unserved,
     /// The client has made no request yet.
     AwaitingFirstRequest,
     /// The client is between two requests.
@@ -32,12 +38,12 @@
 
 impl EvictionClass {
     /// In the order of eviction.
-    const ALL: [Self; 3] = [Self::Closing, Self::AwaitingFirstRequest, Self::Idle];
+    const ALL: [Self; 3] = [Self::Unserved, Self::AwaitingFirstRequest, Self::Idle];
 
     /// The age from which a connection may be evicted: the client of a younger one may be about to send.
     const fn min_age(self) -> Duration {
         match self {
-            Self::Closing | Self::AwaitingFirstRequest => Duration::from_millis(5),
+            Self::Unserved | Self::AwaitingFirstRequest => Duration::from_millis(5),
             Self::Idle => Duration::from_millis(20),
         }
     }
@@ -51,12 +57,20 @@
     slot_number: u64,
 }
 
+/// The request to the task of a connection to give it up.
+#[derive(Debug, Default)]
+struct EvictionRequest {
+    asked: Latch,
+    /// The task has given up the slot or refused to.
+    answered: Latch,
+}
+
 /// Whether a client that connects is served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
-    /// It has room.
+    /// It has a slot.
     Admitted,
-    /// It is accepted only to be told that there is no room: all other clients are being served.
+    /// It is only told that there is no room: all other clients are being served.
     Rejected,
 }
 
@@ -75,12 +89,16 @@
 #[derive(Debug)]
 pub struct ConnectionSlots {
     limits: SlotLimits,
+    counters: Rc<Counters>,
     max_awaiting_first_request: usize,
-    in_use: Cell<usize>,
+    /// The open connections.
+    open: Cell<usize>,
+    /// How many of them hold a slot.
+    served: Cell<usize>,
     last_number: Cell<u64>,
     freed: Event,
-    /// The connections that can be evicted; the latch tells their tasks.
-    evictable: RefCell<BTreeMap<EvictionKey, Rc<Latch>>>,
+    /// The connections that can be evicted and were not asked to yet.
+    evictable: RefCell<BTreeMap<EvictionKey, Rc<EvictionRequest>>>,
     /// How many of them await their first request.
     awaiting_first_request: Cell<usize>,
     /// No connection is older than this.
@@ -90,11 +108,13 @@
 impl ConnectionSlots {
     /// Free slots within these limits.
     #[must_use]
-    pub fn new(limits: SlotLimits) -> Self {
+    pub fn new(limits: SlotLimits, counters: Rc<Counters>) -> Self {
         Self {
             limits,
+            counters,
             max_awaiting_first_request: (limits.clients / AWAITING_FIRST_REQUEST_DIVISOR).max(1),
-            in_use: Cell::new(0),
+            open: Cell::new(0),
+            served: Cell::new(0),
             last_number: Cell::new(0),
             freed: Event::new(),
             evictable: RefCell::default(),
@@ -103,56 +123,74 @@
         }
     }
 
-    /// How many slots are in use, those of evicted connections that are still open left out.
+    /// How many connections are open, whether they are served or not.
     #[must_use]
-    pub fn in_use(&self) -> usize {
-        self.in_use.get()
+    pub fn open_connections(&self) -> usize {
+        self.open.get()
     }
 
-    /// Waits until one more client can be accepted, evicting another if need be.
-    pub async fn wait_for_room(&self) -> Admission {
-        loop {
-            if self.established() >= self.limits.established {
-                self.evict_one(EvictionClass::Idle..=EvictionClass::Idle);
-            }
-            let awaiting_is_full = self.awaiting_first_request.get() >= self.max_awaiting_first_request;
-            let is_full = self.in_use.get() >= self.limits.clients;
-            if !(awaiting_is_full || is_full) {
-                return Admission::Admitted;
-            }
-            let last_class = if is_full { EvictionClass::Idle } else { EvictionClass::AwaitingFirstRequest };
-            if self.evict_one(EvictionClass::Closing..=last_class) {
-                return Admission::Admitted;
-            }
-            if !awaiting_is_full && self.in_use.get() < self.limits.clients + self.limits.rejected {
-                return Admission::Rejected;
+    /// How many clients are served.
+    #[must_use]
+    pub fn served_clients(&self) -> usize {
+        self.served.get()
+    }
+
+    /// Whether no further connection may be opened before another one is closed.
+    #[must_use]
+    pub fn is_open_limit_reached(&self) -> bool {
+        self.open.get() >= self.limits.clients + self.limits.rejected
+    }
+
+    /// Waits until one more connection may be opened, evicting one that is not served if need be. For a client that has
+    /// connected only.
+    pub async fn wait_until_one_more_may_open(&self) {
+        while self.is_open_limit_reached() {
+            if !self.evict_one(EvictionClass::Unserved..=EvictionClass::Unserved).await {
+                self.wait_for_change().await;
             }
-            // These connections are too young to be told from clients that are about to send.
-            let freed = self.freed.listen();
-            or(freed, async {
-                let _ = Timer::after(EvictionClass::AwaitingFirstRequest.min_age()).await;
-            })
-            .await;
         }
     }
 
+    /// Counts one more open connection, that of a client that is not served yet.
+    #[must_use]
+    pub fn open(self: &Rc<Self>) -> Slot {
+        let number = self.last_number.get() + 1;
+        self.last_number.set(number);
+        self.open.set(self.open.get() + 1);
+        Slot { slots: self.clone(), number, is_served: Cell::new(false) }
+    }
+
+    fn is_full(&self) -> bool {
+        self.served.get() >= self.limits.clients
+    }
+
+    fn is_awaiting_first_request_full(&self) -> bool {
+        self.awaiting_first_request.get() >= self.max_awaiting_first_request
+    }
+
     /// How many slots belong to clients that have made a request, those with one in flight included.
     fn established(&self) -> usize {
-        let first_idle = self.first_key(EvictionClass::Idle);
-        let not_established = self.evictable.borrow().range(..first_idle).count();
-        self.in_use.get().saturating_sub(not_established)
+        self.served.get().saturating_sub(self.awaiting_first_request.get())
     }
 
-    /// Evicts one connection of these classes; false if none of them can be evicted.
-    pub fn evict_one(&self, classes: RangeInclusive<EvictionClass>) -> bool {
+    /// Waits until a connection is closed or a slot is freed, or another connection may be old enough to be evicted.
+    async fn wait_for_change(&self) {
+        let freed = self.freed.listen();
+        or(freed, async {
+            let _ = Timer::after(EvictionClass::AwaitingFirstRequest.min_age()).await;
+        })
+        .await;
+    }
+
+    /// Asks one connection of these classes to be evicted, and waits for its answer, which may be that it stays since
+    /// its client has sent something; false if there is none to ask.
+    pub async fn evict_one(&self, classes: RangeInclusive<EvictionClass>) -> bool {
         let classes = EvictionClass::ALL.into_iter().filter(|class| classes.contains(class));
         let is_old_enough = |key: &EvictionKey| key.since.elapsed() >= key.class.min_age();
         let oldest = classes.filter_map(|class| self.oldest(class)).find(is_old_enough);
-        let Some(key) = oldest else { return false };
-        if let Some(evicted) = self.remove_evictable(key) {
-            self.in_use.set(self.in_use.get() - 1);
-            evicted.set();
-        }
+        let Some(request) = oldest.and_then(|key| self.remove_evictable(key)) else { return false };
+        request.asked.set();
+        request.answered.wait().await;
         true
     }
 
@@ -168,99 +206,129 @@
         EvictionKey { class, since: self.created_at, slot_number: 0 }
     }
 
-    fn insert_evictable(&self, key: EvictionKey, evicted: Rc<Latch>) {
-        self.evictable.borrow_mut().insert(key, evicted);
+    fn insert_evictable(&self, key: EvictionKey, request: Rc<EvictionRequest>) {
+        self.evictable.borrow_mut().insert(key, request);
         if key.class == EvictionClass::AwaitingFirstRequest {
             self.awaiting_first_request.set(self.awaiting_first_request.get() + 1);
         }
     }
 
-    fn remove_evictable(&self, key: EvictionKey) -> Option<Rc<Latch>> {
-        let evicted = self.evictable.borrow_mut().remove(&key);
-        if evicted.is_some() && key.class == EvictionClass::AwaitingFirstRequest {
+    fn remove_evictable(&self, key: EvictionKey) -> Option<Rc<EvictionRequest>> {
+        let request = self.evictable.borrow_mut().remove(&key);
+        if request.is_some() && key.class == EvictionClass::AwaitingFirstRequest {
             self.awaiting_first_request.set(self.awaiting_first_request.get() - 1);
         }
-        evicted
-    }
-
-    /// Occupies a slot for a new client, whether or not there is room.
-    pub fn occupy(&self) -> Slot<'_> {
-        let number = self.last_number.get() + 1;
-        self.last_number.set(number);
-        self.in_use.set(self.in_use.get() + 1);
-        Slot { slots: self, number, evicted: Cell::new(false) }
+        request
     }
 }
 
-/// The slot of one client, freed when it is dropped.
+/// The place of one open connection, and the slot of its client while that is served. Dropped after the connection.
 #[derive(Debug)]
-pub struct Slot<'a> {
-    slots: &'a ConnectionSlots,
+pub struct Slot {
+    slots: Rc<ConnectionSlots>,
     number: u64,
-    /// The connection was evicted: the slot no longer counts as in use.
-    evicted: Cell<bool>,
+    is_served: Cell<bool>,
 }
 
-impl Slot<'_> {
+impl Slot {
     /// The slot's number, which is never used again.
     #[must_use]
     pub fn number(&self) -> u64 {
         self.number
     }
 
-    /// Runs `work` while the connection can be evicted; `None` if it was evicted before `work` completed. Completed work
-    /// takes precedence: a client whose request can be read is not evicted.
+    /// Admits the client if there is room, evicting others if need be.
+    pub async fn admit(&self) -> Admission {
+        let slots = &self.slots;
+        if slots.established() >= slots.limits.established {
+            slots.evict_one(EvictionClass::Idle..=EvictionClass::Idle).await;
+        }
+        loop {
+            if self.try_admit() == Admission::Admitted {
+                return Admission::Admitted;
+            }
+            let last_class =
+                if slots.is_full() { EvictionClass::Idle } else { EvictionClass::AwaitingFirstRequest };
+            if slots.evict_one(EvictionClass::AwaitingFirstRequest..=last_class).await {
+                continue;
+            }
+            if !slots.is_awaiting_first_request_full() {
+                return Admission::Rejected;
+            }
+            // These connections are too young to be told from clients that are about to send.
+            slots.wait_for_change().await;
+        }
+    }
+
+    /// Admits the client if there is room without an eviction.
+    pub fn try_admit(&self) -> Admission {
+        if self.slots.is_full() || self.slots.is_awaiting_first_request_full() {
+            return Admission::Rejected;
+        }
+        self.is_served.set(true);
+        self.slots.served.set(self.slots.served.get() + 1);
+        Admission::Admitted
+    }
+
+    /// Frees the slot of a client whose session is over; its connection stays open until this is dropped.
+    pub fn end_service(&self) {
+        if self.is_served.replace(false) {
+            self.slots.served.set(self.slots.served.get() - 1);
+            self.slots.freed.notify(1);
+        }
+    }
+
+    /// Runs `work` while the connection can be evicted; `None` if it was evicted before `work` completed, which ends the
+    /// client's service. Completed work takes precedence: a client whose request can be read is not evicted.
     pub async fn while_evictable<T>(
         &self,
         class: EvictionClass,
         since: Instant,
         work: impl Future<Output = T>,
     ) -> Option<T> {
-        // An evicted client that is still here, to close in order, holds a descriptor until it is evicted again.
-        self.reclaim();
-        let key = EvictionKey { class, since, slot_number: self.number };
-        let evicted = Rc::new(Latch::default());
-        self.slots.insert_evictable(key, evicted.clone());
-        let guard = EvictableGuard { slot: self, key, evicted };
-        let work = or(async { Some(work.await) }, async {
-            guard.evicted.wait().await;
+        let class = if self.is_served.get() { class } else { EvictionClass::Unserved };
+        let evictable = Evictable::new(&self.slots, EvictionKey { class, since, slot_number: self.number });
+        // Polled first, so that what the client has sent is read before an eviction.
+        let work = async { Some(work.await) };
+        let evicted = async {
+            evictable.request.asked.wait().await;
             None
-        });
-        let result = work.await;
-        drop(guard);
-        if result.is_some() {
-            self.reclaim();
+        };
+        let result = or(work, evicted).await;
+        if result.is_none() {
+            self.slots.counters.evicted_connections.increment();
+            self.end_service();
         }
         result
     }
-
-    /// Counts the slot as in use again, if its connection was evicted.
-    fn reclaim(&self) {
-        if self.evicted.replace(false) {
-            self.slots.in_use.set(self.slots.in_use.get() + 1);
-        }
-    }
 }
 
-impl Drop for Slot<'_> {
+impl Drop for Slot {
     fn drop(&mut self) {
-        if !self.evicted.get() {
-            self.slots.in_use.set(self.slots.in_use.get() - 1);
-        }
+        self.end_service();
+        self.slots.open.set(self.slots.open.get() - 1);
         self.slots.freed.notify(1);
     }
 }
 
-/// Keeps a connection evictable until it is dropped.
-struct EvictableGuard<'a> {
-    slot: &'a Slot<'a>,
+/// Keeps a connection evictable until it is dropped, and then answers the request to evict it.
+struct Evictable<'a> {
+    slots: &'a ConnectionSlots,
     key: EvictionKey,
-    evicted: Rc<Latch>,
+    request: Rc<EvictionRequest>,
+}
+
+impl<'a> Evictable<'a> {
+    fn new(slots: &'a ConnectionSlots, key: EvictionKey) -> Self {
+        let request = Rc::new(EvictionRequest::default());
+        slots.insert_evictable(key, request.clone());
+        Self { slots, key, request }
+    }
 }
 
-impl Drop for EvictableGuard<'_> {
+impl Drop for Evictable<'_> {
     fn drop(&mut self) {
-        self.slot.slots.remove_evictable(self.key);
-        self.slot.evicted.set(self.evicted.is_set());
+        self.slots.remove_evictable(self.key);
+        self.request.answered.set();
     }
 }
--- a/crates/proxy/src/client/session.rs
+++ b/crates/proxy/src/client/session.rs
@@ -39,7 +39,7 @@
 
 impl<'a> ClientSession<'a> {
     /// The session of a connection that has just been accepted.
-    pub(super) fn new(context: &'a ClientContext, stream: Async<TcpStream>, slot: Slot<'a>) -> Self {
+    pub(super) fn new(context: &'a ClientContext, stream: Async<TcpStream>, slot: Slot) -> Self {
         Self {
             context,
             registration: context.cancellation_keys.register(slot.number()),
--- a/crates/proxy/src/client/startup.rs
+++ b/crates/proxy/src/client/startup.rs
@@ -30,7 +30,8 @@
     if await_session_start(context, connection).await? == StartupOutcome::Done {
         return Ok(StartupOutcome::Done);
     }
-    if admission == Admission::Rejected {
+    // A slot may have become free since the client was accepted.
+    if admission == Admission::Rejected && connection.try_admit() == Admission::Rejected {
         context.counters.rejected_connections.increment();
         let error = ErrorReply::TooManyClients { retry_after: context.full_retry_after };
         connection.close_with_error(error).await?;
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -23,6 +23,8 @@
     pub client_connections: Counter,
     /// Client connections rejected because no slot was free.
     pub rejected_connections: Counter,
+    /// Client connections closed to make room for others.
+    pub evicted_connections: Counter,
     /// Requests submitted to the router.
     pub requests: Counter,
     /// Statements answered with an error because they are not requests.
@@ -80,10 +82,11 @@
     }
 
     /// The counters with their names, in the order in which they are shown.
-    fn named(&self) -> [(&'static str, &Counter); 16] {
+    fn named(&self) -> [(&'static str, &Counter); 17] {
         [
             ("client_connections", &self.client_connections),
             ("rejected_connections", &self.rejected_connections),
+            ("evicted_connections", &self.evicted_connections),
             ("requests", &self.requests),
             ("rejected_statements", &self.rejected_statements),
             ("attempts", &self.attempts),
