Evict a client for want of descriptors only where another one has connected

Callers saw: where the process was out of descriptors, a client that had asked nothing yet or was idle lost its connection though nobody had connected. Cause: accepting fails for want of a descriptor even while no client is there (Linux takes the descriptor first), and the pause after that error closed a connection to free one.

--- a/crates/pooler/tests/sockets/connection_limits.rs
+++ b/crates/pooler/tests/sockets/connection_limits.rs
@@ -68,6 +68,26 @@
     assert!(pooler.counters().contains(" evicted_connections=0 "));
 }
 
+#[test]
+fn without_descriptors_a_client_is_evicted_only_for_another_that_has_connected() {
+    let discovery = FakeDiscovery::new();
+    let pooler = PoolerProcess::start(&PoolerConfig::new(&discovery, Vec::new()));
+    let _watch = discovery.accept_watch();
+    // The last descriptor goes to this client.
+    pooler.limit_further_descriptors(1);
+    let mut client = Client::connect(&pooler);
+    assert!(pooler.counts(" resource_waits=1 "), "the last descriptor is taken");
+    // Far longer than the pause in accepting and the age from which it may be evicted.
+    let exhausted_at = Instant::now();
+    while exhausted_at.elapsed() < Duration::from_millis(100) {
+        pooler.counters();
+    }
+    assert_eq!(client.query("").tags, "IZ", "nobody else has connected");
+    let mut next = Client::connect(&pooler);
+    assert_eq!(next.query("").tags, "IZ");
+    assert!(client.is_closed(), "it made room");
+}
+
 #[test]
 fn a_rejected_client_that_stays_makes_no_room_for_another() {
     let FullPooler { gate, _server, pooler, mut clients } = FullPooler::start(|config| config);
--- a/crates/pooler/tests/support/pooler_process.rs
+++ b/crates/pooler/tests/support/pooler_process.rs
@@ -1,6 +1,8 @@
 //! The built pooler as a process.
 
 use super::{FakeDiscovery, FakeServer, PATIENCE, PoolerConfig};
+use rustix::process::{Pid, Resource, Rlimit, prlimit};
+use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -118,6 +120,17 @@
         self.wait_for_log("draining");
     }
 
+    /// Lets it open only so many descriptors beyond those that it has open.
+    pub fn limit_further_descriptors(&self, count: usize) {
+        let open = std::fs::read_dir(format!("/proc/{}/fd", self.id())).unwrap();
+        let open: BTreeSet<u64> =
+            open.map(|file| file.unwrap().file_name().to_str().unwrap().parse().unwrap()).collect();
+        // The limit holds for the numbers of descriptors, the lowest free one of which is opened next.
+        let limit = (0..).filter(|number| !open.contains(number)).nth(count);
+        let limit = Rlimit { current: limit, maximum: limit };
+        prlimit(Some(Pid::from_child(&self.child)), Resource::Nofile, limit).unwrap();
+    }
+
     /// Stops the process while `meanwhile` happens, and for a while after.
     pub fn while_stopped(&self, meanwhile: impl FnOnce()) {
         self.signal(Signal::Stop);
--- a/crates/proxy/src/client/accept.rs
+++ b/crates/proxy/src/client/accept.rs
@@ -43,7 +43,7 @@
                 yield_now().await;
             }
             Some(Err(error)) => {
-                or(pause_after_error(&context, &error), not_accepting(&context, ())).await;
+                or(pause_after_error(&context, &listener, &error), not_accepting(&context, ())).await;
             }
         }
     }
@@ -71,15 +71,15 @@
 }
 
 /// Pauses after an error, so that one that lasts keeps the accept loop neither busy nor from going on.
-async fn pause_after_error(context: &ClientContext, error: &io::Error) {
+async fn pause_after_error(context: &ClientContext, listener: &Async<TcpListener>, error: &io::Error) {
     if !is_resource_exhaustion(error) {
         // The client gave up before it was accepted.
         Timer::after(ERROR_PAUSE).await;
         return;
     }
-    // Closing an idle connection frees a descriptor.
     context.counters.resource_waits.increment();
-    if !context.pool.close_one_idle() {
+    // Without descriptors accepting fails even while no client is there, for whom others might be closed.
+    if listener.readable().await.is_ok() && !context.pool.close_one_idle() {
         context.slots.evict_one(EvictionClass::Unserved..=EvictionClass::Idle).await;
     }
     Timer::after(EXHAUSTED_PAUSE).await;
