Let an endpoint that is passed over take a read now and then to show its recovery

Callers saw: reads crowd onto two of three idle replicas; the third got none of the next 60 to 150 after one slow response. Cause: an idle endpoint's load is its slowness, the threshold 1.2 times the mean load. Fast peers fall to 0.5 to 0.8, so that one at usual speed is over it, and slowness fades towards 1 at best; nothing is sent that would clear it. The failure score, lowered by successes alone, starves an endpoint in the same way. Not the bound of 10. Change: router/read_trials. Passed over for 2 reads while idle, an endpoint takes the next one; a timely response counts for half of its slowness, a late one or none doubles the 2, up to 32. All four figures chosen, not tuned. Why it works: what is known fades with the reads that it withheld, so that the wait is bounded in reads at any rate of them, and the doubling bounds what one that stays slow costs. No random draw is added or moved.

--- a/crates/routing/src/router/endpoint.rs
+++ b/crates/routing/src/router/endpoint.rs
@@ -7,6 +7,7 @@
 use super::latency::Slowness;
 use super::outlier_detection::FailureScore;
 use super::primary::RoleEvidence;
+use super::read_trials::ReadTrials;
 use super::slow_start::{ListedStart, WarmUp};
 use crate::primary_search::SearchTarget;
 use crate::{EndpointEntry, EndpointId, GroupId, Lifecycle, Role, Timestamp};
@@ -28,6 +29,8 @@
     pub(super) work: EndpointWork,
     /// How much slower than usual it responds.
     pub(super) slowness: Slowness,
+    /// When it takes a read although it is passed over.
+    pub(super) read_trials: ReadTrials,
     /// Its failures and ejections.
     pub(super) failures: FailureScore,
     /// How much work it may have.
@@ -49,6 +52,7 @@
             role_evidence: RoleEvidence::default(),
             work: EndpointWork::default(),
             slowness: Slowness::default(),
+            read_trials: ReadTrials::default(),
             failures: FailureScore::default(),
             concurrency,
             warm_up: WarmUp::default(),
--- a/crates/routing/src/router/endpoint_outcomes.rs
+++ b/crates/routing/src/router/endpoint_outcomes.rs
@@ -89,6 +89,7 @@
             AttemptOutcome::Error | AttemptOutcome::Cancelled | AttemptOutcome::NotSent => {}
         }
         self.record_latency(now, completed, &context);
+        self.record_trial(completed, &context);
         self.record_overload(now, completed, &context);
     }
 
@@ -199,11 +200,37 @@
             return;
         }
         if let Some(endpoint) = self.endpoints.get_mut(&completed.endpoint) {
-            endpoint.slowness.observe(now, completed.elapsed, &latency);
+            if endpoint.read_trials.was_passed_over() {
+                endpoint.slowness.observe_trial(now, completed.elapsed, &latency);
+            } else {
+                endpoint.slowness.observe(now, completed.elapsed, &latency);
+            }
         }
         self.latency.observe(attempt.class, completed.elapsed);
     }
 
+    /// Records whether the endpoint responded in the usual time, by which it may take reads again.
+    fn record_trial(&mut self, completed: &CompletedAttempt, context: &OutcomeContext) {
+        let Some(usual) = context.class_latency else { return };
+        let Some(endpoint) = self.endpoints.get_mut(&completed.endpoint) else { return };
+        match completed.outcome {
+            AttemptOutcome::Ok if completed.elapsed <= usual.overdue_after() => {
+                endpoint.read_trials.record_timely_response();
+            }
+            AttemptOutcome::Ok
+            | AttemptOutcome::Timeout
+            | AttemptOutcome::Rejected
+            | AttemptOutcome::ConnectionRefused
+            | AttemptOutcome::ConnectTimeout
+            | AttemptOutcome::ConnectionReset
+            | AttemptOutcome::ConnectionLostBeforeSend => endpoint.read_trials.record_failure(),
+            AttemptOutcome::Error
+            | AttemptOutcome::NotEligible
+            | AttemptOutcome::Cancelled
+            | AttemptOutcome::NotSent => {}
+        }
+    }
+
     fn record_overload(&mut self, now: Timestamp, completed: &CompletedAttempt, context: &OutcomeContext) {
         if completed.attempt.is_none() {
             return;
--- a/crates/routing/src/router/endpoint_selection.rs
+++ b/crates/routing/src/router/endpoint_selection.rs
@@ -19,6 +19,9 @@
         let group = request.group();
         let budget = &self.health_check_budget;
         let selection = self.view(now).select_for_read(request, randomness, trusts_clock, budget)?;
+        if let Some(endpoint) = selection.passed_over.and_then(|id| self.endpoints.get_mut(&id)) {
+            endpoint.read_trials.record_passed_over();
+        }
         self.health_check_budget.withdraw(selection.health_checks.len());
         self.send_health_checks(now, &selection.health_checks, TimeDelta::ZERO, actions);
         if selection.endpoint.is_none() && self.view(now).confirmed_primary(group).is_none() {
--- a/crates/routing/src/router/latency.rs
+++ b/crates/routing/src/router/latency.rs
@@ -20,6 +20,8 @@
 const OVERDUE_DEVIATIONS: f64 = 4.0;
 /// What the slowness of an endpoint keeps of its value with each response.
 const SLOWNESS_RETENTION: f64 = 0.9;
+/// The same with a response to a read that an endpoint took after it had been passed over.
+const TRIAL_SLOWNESS_RETENTION: f64 = 0.5;
 /// The lower bound of the slowness.
 const MIN_SLOWNESS: f64 = 0.3;
 /// The upper bound of the slowness.
@@ -130,9 +132,18 @@
 
     /// Updates the estimate with the latency of a response.
     pub(super) fn observe(&mut self, now: Timestamp, latency: TimeDelta, usual: &LatencyEstimate) {
-        let Microseconds(latency) = latency.into();
-        let kept = self.factor(now) * SLOWNESS_RETENTION;
-        let factor = kept + (1.0 - SLOWNESS_RETENTION) * latency / usual.positive_mean().0;
+        self.update(now, usual.relative(latency), SLOWNESS_RETENTION);
+    }
+
+    /// The same with the response to a read that the endpoint took after it had been passed over: what was
+    /// known of it is old.
+    pub(super) fn observe_trial(&mut self, now: Timestamp, latency: TimeDelta, usual: &LatencyEstimate) {
+        self.update(now, usual.relative(latency), TRIAL_SLOWNESS_RETENTION);
+    }
+
+    fn update(&mut self, now: Timestamp, relative_latency: f64, retention: f64) {
+        let kept = self.factor(now) * retention;
+        let factor = kept + (1.0 - retention) * relative_latency;
         self.factor = factor.clamp(MIN_SLOWNESS, MAX_SLOWNESS);
         self.observed_at = now;
     }
--- a/crates/routing/src/router/load_balancing.rs
+++ b/crates/routing/src/router/load_balancing.rs
@@ -42,6 +42,8 @@
 pub(super) struct ReadSelection {
     /// The endpoint, if any can take it now.
     pub(super) endpoint: Option<EndpointId>,
+    /// The endpoint that was picked first and passed over, because it is slow or fails.
+    pub(super) passed_over: Option<EndpointId>,
     /// Replicas to health-check for their positions.
     pub(super) health_checks: Vec<EndpointId>,
 }
@@ -65,6 +67,20 @@
     is_suspect: bool,
 }
 
+/// The replica that a read goes to.
+struct Pick<'a> {
+    endpoint: &'a Endpoint,
+    /// The first random pick, if it was passed over while it had nothing else to do.
+    passed_over: Option<&'a Endpoint>,
+}
+
+impl<'a> Pick<'a> {
+    /// No replica was passed over.
+    fn first(endpoint: &'a Endpoint) -> Self {
+        Self { endpoint, passed_over: None }
+    }
+}
+
 /// One read, and the endpoints that it may go to.
 struct ReadCandidates<'a> {
     view: ClusterView<'a>,
@@ -172,15 +188,30 @@
         }
     }
 
-    /// A random replica, or one of the next ones if its load is over the threshold.
-    fn pick(&self, replicas: &[&'a Endpoint]) -> &'a Endpoint {
+    /// A random replica, or one of the next ones if its load is over the threshold, unless it is to show
+    /// whether it has recovered.
+    fn pick(&self, replicas: &[&'a Endpoint]) -> Pick<'a> {
         let loads: Vec<f64> = replicas.iter().map(|replica| self.view.load_of(replica)).collect();
         let threshold = LOAD_THRESHOLD * loads.iter().sum::<f64>() / loads.len() as f64;
         let count = replicas.len();
         let first = self.randomness.index_seed;
         let mut considered = (0..=FORWARD_STEPS.min(count - 1)).map(|step| (first + step) % count);
         let below = considered.find(|index| loads[*index] <= threshold);
-        replicas[below.unwrap_or(first % count)]
+        let first = replicas[first % count];
+        let Some(chosen) = below.map(|index| replicas[index]) else { return Pick::first(first) };
+        if chosen.id() == first.id() || !self.may_be_tried(first) {
+            Pick::first(chosen)
+        } else if first.read_trials.is_due() {
+            Pick::first(first)
+        } else {
+            Pick { endpoint: chosen, passed_over: Some(first) }
+        }
+    }
+
+    /// Whether a replica that is over the threshold may take the read to show whether it has recovered: it has
+    /// nothing else to do, and the read has been sent nowhere yet.
+    fn may_be_tried(&self, replica: &Endpoint) -> bool {
+        self.request.attempt_count() == 0 && self.view.work_of(replica) == 0.0
     }
 
     fn select(&self, trusts_clock: bool, budget: &HealthCheckBudget) -> ReadSelection {
@@ -189,14 +220,18 @@
             replicas.is_empty() && self.view.settings.stale_read_policy == StaleReadPolicy::Reject;
         replicas.retain(|replica| self.view.has_room(replica));
         let health_checks = self.health_checks(!replicas.is_empty(), budget);
+        let mut passed_over = None;
         let endpoint = if replicas.is_empty() && !self.primary_only {
             self.primary_within_share(self.primary_share(is_lagging))
         } else if replicas.is_empty() || self.spills_over() {
             self.primary_with_room()
         } else {
-            Some(self.pick(&replicas))
+            let pick = self.pick(&replicas);
+            passed_over = pick.passed_over;
+            Some(pick.endpoint)
         };
-        ReadSelection { endpoint: endpoint.map(|endpoint| endpoint.id().clone()), health_checks }
+        let id = |endpoint: &Endpoint| endpoint.id().clone();
+        ReadSelection { endpoint: endpoint.map(id), passed_over: passed_over.map(id), health_checks }
     }
 }
 
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -6,8 +6,8 @@
 //!   by endpoint and by group.
 //! - `fleet_clock`, `freshness`, `primary`: the fleet's time, how current data is, and which endpoint is
 //!   the primary.
-//! - `in_flight`, `latency`, `outlier_detection`, `concurrency`, `slow_start`: the state of an endpoint, and
-//!   what it may be sent.
+//! - `in_flight`, `latency`, `outlier_detection`, `read_trials`, `concurrency`, `slow_start`: the state of an
+//!   endpoint, and what it may be sent.
 //! - `overload`, `demand`, `retry_budget`: the fleet's capacity and the demand for it.
 //! - `requests`, `queue`, `timers`: the requests, and when each must be looked at.
 //!
@@ -44,6 +44,7 @@
 mod primary;
 mod queue;
 mod random;
+mod read_trials;
 mod requests;
 mod retry_budget;
 mod slow_start;
--- a/crates/routing/tests/router/load_balancing.rs
+++ b/crates/routing/tests/router/load_balancing.rs
@@ -48,6 +48,56 @@
     assert!(again > since_slow / 20, "{again} of {since_slow} reads");
 }
 
+/// Sends so many reads one after another, each answered before the next one; how many went to endpoint 1 of four.
+/// It answers in `first_ms`, the others in 5 ms.
+fn reads_of_first(host: &mut TestHost, count: usize, first_ms: i64) -> usize {
+    let mut of_first = 0;
+    for _ in 0..count {
+        let (id, actions) = host.request(EVENTUAL_READ);
+        let at = endpoint_number(4, &sent_to(&actions)[0]);
+        let took = if at == 1 { first_ms } else { 5 };
+        of_first += usize::from(at == 1);
+        host.respond_after(id, 0, at, took);
+    }
+    of_first
+}
+
+#[test]
+fn an_endpoint_that_was_slow_once_serves_again_within_sixty_reads_and_then_its_share() {
+    for seed in 1..=100 {
+        for slow_ms in [12, 50, 500] {
+            let mut host = TestHost::with_seed(seed, settings(), 4);
+            reads_of_first(&mut host, 200, 5);
+            // It is slow once.
+            while reads_of_first(&mut host, 1, slow_ms) == 0 {}
+            assert!(reads_of_first(&mut host, 60, 5) > 0, "seed {seed}, {slow_ms} ms");
+            let later = reads_of_first(&mut host, 200, 5);
+            assert!(later > 200 / 8, "seed {seed}, {slow_ms} ms: {later} of 200, where an even share is 50");
+        }
+    }
+}
+
+#[test]
+fn an_endpoint_that_was_slow_at_the_start_serves_within_sixty_reads() {
+    for seed in 1..=100 {
+        let mut host = TestHost::with_seed(seed, settings(), 4);
+        while reads_of_first(&mut host, 1, 100) == 0 {}
+        assert!(reads_of_first(&mut host, 60, 5) > 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn an_endpoint_that_stays_slow_gets_few_reads() {
+    for seed in 1..=20 {
+        for slow_ms in [50, 500] {
+            let mut host = TestHost::with_seed(seed, settings(), 4);
+            reads_of_first(&mut host, 200, 5);
+            let reads = reads_of_first(&mut host, 1_000, slow_ms);
+            assert!(reads <= 1_000 / 40, "seed {seed}, {slow_ms} ms: {reads}, where an even share is 250");
+        }
+    }
+}
+
 #[test]
 fn idle_reads_are_spread_over_all_endpoints() {
     let mut host = TestHost::new(settings(), 4);
