Ask a client that may not be closed meanwhile whether malformed input affected it

Cause: the test's own. It asked a client that had made no request for as long as the 60 MB took to arrive; the terms let a connection without a request be closed after 2 s, and here it is. Change: another client makes a request first and one at the end, and the former client is asked right after its error, which nothing checked before. As strict: nothing but that one request may reach the server, and both sessions have to go on. No program changed.

--- a/crates/pooler/tests/sockets/malformed_input.rs
+++ b/crates/pooler/tests/sockets/malformed_input.rs
@@ -29,6 +29,9 @@
 fn malformed_input_is_rejected_and_affects_no_other_client() {
     let server = FakeServer::answering("s-1", "replica");
     let pooler = PoolerProcess::with_replica(&server);
+    // It has made a request: its connection may not be closed after 2 s, however long the others take.
+    let mut other = Client::connect(&pooler);
+    assert_eq!(other.query(&read_statement("0")).text(), Some("s-1"));
     for (statement, tags) in ANSWERED_BY_THE_POOLER {
         assert_eq!(Client::connect(&pooler).query(statement).tags, tags, "{statement}");
     }
@@ -36,6 +39,7 @@
     let mut client = Client::connect(&pooler);
     client.stream.write_bytes(b"P\0\0\0\x08\0\0\0\0B\0\0\0\x04S\0\0\0\x04");
     assert_eq!(client.read_response().tags, "EZ");
+    assert_eq!(client.query("").tags, "IZ", "the session goes on");
     for violation in PROTOCOL_VIOLATIONS {
         let mut client = Client::connect(&pooler);
         client.stream.write_bytes(violation);
@@ -60,8 +64,8 @@
     assert_eq!((response.tags.as_str(), response.sql_state()), ("E", Some("08P01")));
     drop(huge);
     sender.join().unwrap();
-    assert_eq!(server.statements(), [""; 0]);
-    assert_eq!(client.query(&read_statement("1")).text(), Some("s-1"));
+    assert_eq!(server.statements().len(), 1, "nothing but the other client's request");
+    assert_eq!(other.query(&read_statement("1")).text(), Some("s-1"));
 }
 
 #[test]
