Wait for the soak's watch as long as the terms allow after a reload

Cause: the soak's own. 300 ms is how long the machine of the first runs took; what discovery has to tell counts 4 s after SIGHUP. Change: the run waits for its watch until 4 s after the last SIGHUP, and fails as before if there is none. Where the watch is there after 300 ms, nothing changes. No program changed.

--- a/crates/pooler/tests/soak/run.rs
+++ b/crates/pooler/tests/soak/run.rs
@@ -19,8 +19,13 @@
 const MANY_SOCKETS: usize = 640;
 /// Traffic before SIGTERM.
 const TRAFFIC_BEFORE_SHUTDOWN: Duration = Duration::from_millis(1_200);
-/// A series of new configurations has been taken up by then.
+/// A series of new configurations has usually been taken up by then.
 const RELOADS_SETTLE: Duration = Duration::from_millis(300);
+/// The pooler watches discovery where it moved to no later than this after SIGHUP, from when on what discovery has to
+/// tell counts as told.
+const MOVE_LIMIT: Duration = Duration::from_secs(4);
+/// How often a watch is looked for.
+const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// The process may be stopped for 0.15 s at any time; the commands that do so take 10 ms of that, measured.
 const STOPPED: Duration = Duration::from_millis(140);
 /// The least pause between two of these: one is not to become twice as long.
@@ -139,16 +144,34 @@
     }
 }
 
-/// Reloads in series, each to the other discovery service; it ends at the second.
-fn reload_in_series(pooler: &PoolerProcess, configurations: &[PoolerConfig], random: &SharedRandom) {
+/// Reloads in series, each to the other discovery service; it ends at the second. When the last one was sent.
+fn reload_in_series(
+    pooler: &PoolerProcess,
+    configurations: &[PoolerConfig],
+    random: &SharedRandom,
+) -> Instant {
     let texts: Vec<String> = configurations.iter().map(PoolerConfig::to_string).collect();
+    let mut sent_at = Instant::now();
     for turn in 1..=1 + random.below(3) as usize * 2 {
         pooler.write_configuration(&texts[turn % 2]);
+        sent_at = Instant::now();
         pooler.signal(Signal::Reload);
         pooler.signal(Signal::ReportCounters);
         std::thread::sleep(Duration::from_millis(random.below(40)));
     }
     std::thread::sleep(RELOADS_SETTLE);
+    sent_at
+}
+
+/// The watches that the pooler has opened at a discovery service, the first of them by `limit` at the latest.
+fn wait_for_watches(discovery: &FakeDiscovery, limit: Instant) -> Vec<Watch> {
+    loop {
+        let watches = discovery.pending_watches();
+        if !watches.is_empty() || Instant::now() >= limit {
+            return watches;
+        }
+        std::thread::sleep(WATCH_POLL_INTERVAL);
+    }
 }
 
 /// Reports on the last watch that an endpoint drains. The watches must stay open for as long as the run.
@@ -190,8 +213,8 @@
     // Signals in series, while discovery moves; then a replica drains by an update from where it moved to.
     std::thread::sleep(TRAFFIC_BEFORE_SHUTDOWN / 2);
     load.rest();
-    reload_in_series(&pooler, &configurations, &random);
-    let watches = discoveries[1].pending_watches();
+    let reloaded_at = reload_in_series(&pooler, &configurations, &random);
+    let watches = wait_for_watches(&discoveries[1], reloaded_at + MOVE_LIMIT);
     let drain = drain(&watches, &servers[DRAINED]);
     std::thread::sleep(TRAFFIC_BEFORE_SHUTDOWN / 2);
     let status = shut_down(&mut pooler, plan.deadline_ms, &history);
