--- a/crates/routing/src/router/endpoint_outcomes.rs
+++ b/crates/routing/src/router/endpoint_outcomes.rs
@@ -10,7 +10,7 @@
 use crate::time::Microseconds;
 use crate::{AttemptOutcome, EndpointId, GroupId, Role, StaleReadPolicy, TimeDelta, Timestamp};
 
-/// The fraction of the objective within which an endpoint that is not overloaded responds; 0.6 was tried.
+/// The fraction of the objective within which an endpoint that is not overloaded responds.
 const TIMELY_FRACTION: f64 = 0.4;
 
 /// An attempt or a health check that completed.
--- a/crates/routing/src/router/in_flight.rs
+++ b/crates/routing/src/router/in_flight.rs
@@ -8,7 +8,7 @@
 use crate::{AttemptNumber, ClassId, RequestId, SessionKey, TimeDelta, Timestamp};
 use std::collections::BTreeMap;
 
-/// After how many times that an endpoint counts as silent; 1 was tried.
+/// After how many times the time in which an attempt becomes overdue its endpoint counts as silent.
 const SILENCE_FACTOR: f64 = 2.0;
 /// What an attempt in flight counts for in the load at most, as a multiple of a usual response.
 const MAX_ATTEMPT_LOAD: f64 = 4.0;
--- a/crates/routing/src/router/load_balancing.rs
+++ b/crates/routing/src/router/load_balancing.rs
@@ -13,9 +13,9 @@
 use super::retry_budget::HealthCheckBudget;
 use crate::{Consistency, EndpointId, GroupId, Operation, Role, StaleReadPolicy, TimeDelta, Timestamp};
 
-/// An endpoint is passed over if its load exceeds this multiple of the mean; 1.0 made no difference.
+/// An endpoint is passed over if its load exceeds this multiple of the mean.
 const LOAD_THRESHOLD: f64 = 1.2;
-/// How many endpoints after the first pick are considered; 4 made no difference.
+/// How many endpoints after the first pick are considered.
 const FORWARD_STEPS: usize = 2;
 /// The share of the primary's concurrency limit that reads may fill which replicas could serve.
 const PRIMARY_READ_SHARE: f64 = 0.5;
