--- a/crates/routing/src/primary_search.rs
+++ b/crates/routing/src/primary_search.rs
@@ -13,7 +13,8 @@
 use crate::{EndpointId, TimeDelta, Timestamp};
 
 /// The health checks per second that a search may cost an endpoint, over all routers, while there are no more
-/// routers than this, under 1% of the capacity of an endpoint with four cores. More routers check once a second each.
+/// routers than this: under 1% of the capacity of an endpoint with four cores. More routers check once a
+/// second each.
 const MAX_HEALTH_CHECKS_PER_SECOND: f64 = 100.0;
 /// The shortest interval between two checks of one endpoint; load reports are refreshed no more often.
 const MIN_INTERVAL: TimeDelta = TimeDelta::from_millis(100);
--- a/crates/routing/src/router/latency.rs
+++ b/crates/routing/src/router/latency.rs
@@ -7,7 +7,8 @@
 use crate::time::Microseconds;
 use crate::{ClassId, RequestClass, TimeDelta, Timestamp};
 
-/// The first guess of a class's mean latency, as a fraction of its objective; too low a guess times out requests.
+/// The first guess of a class's mean latency, as a fraction of its objective. Too low a guess times out
+/// requests.
 const INITIAL_MEAN: f64 = 0.25;
 /// The first guess of the mean deviation, as a fraction of the objective.
 const INITIAL_MEAN_DEVIATION: f64 = 0.125;
