--- a/crates/routing/src/router/load_balancing.rs
+++ b/crates/routing/src/router/load_balancing.rs
@@ -208,8 +208,8 @@
         }
     }
 
-    /// Whether a replica that is over the threshold may take the read to show whether it has recovered: it has
-    /// nothing else to do, and the read has been sent nowhere yet.
+    /// Whether a replica that is over the threshold may take the read to show whether it has recovered: it
+    /// has nothing else to do, and the read has been sent nowhere yet.
     fn may_be_tried(&self, replica: &Endpoint) -> bool {
         self.request.attempt_count() == 0 && self.view.work_of(replica) == 0.0
     }
--- a/crates/routing/src/router/read_trials.rs
+++ b/crates/routing/src/router/read_trials.rs
@@ -1,8 +1,8 @@
 //! When a read goes to an endpoint that the load balancer passes over, to show whether it has recovered.
 //!
-//! An endpoint that is passed over for its slowness or its failures gets no reads, and so none of the responses
-//! that would clear it. After it was passed over for a number of reads it takes the next one, if it has nothing
-//! else to do. The number doubles with each read that it does not answer in the usual time.
+//! An endpoint that is passed over for its slowness or its failures gets no reads, and so none of the
+//! responses that would clear it. After it was passed over for a number of reads it takes the next one, if it
+//! has nothing else to do. The number doubles with each read that it does not answer in the usual time.
 
 #[cfg(test)]
 mod tests;
