Review, case 3: an endless answer of a data server stops the pooler for everybody

Cause: the validation of an idle connection skips any number of notices without ever waiting or yielding, so its limit of 25 ms is not looked at, and the only thread does nothing else while such an answer keeps coming.

Change: a case under review/ with its claim and its test. Nothing of the project is changed.

--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -5,6 +5,7 @@
 mod cases;
 mod client;
 mod discovery;
+mod load;
 mod messages;
 mod pooler;
 mod record;
--- a/review/lab/pooler.rs
+++ b/review/lab/pooler.rs
@@ -119,11 +119,6 @@
         Ok(())
     }
 
-    /// The process id. The shell replaces itself by the pooler (`exec`).
-    pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-
     /// Whether the process has ended; its status.
     pub fn ended(&mut self) -> Option<String> {
         self.child.try_wait().ok().flatten().map(|status| status.to_string())
--- a/review/lab/server.rs
+++ b/review/lab/server.rs
@@ -50,8 +50,8 @@
     pub id: &'static str,
     pub address: SocketAddr,
     kind: Arc<Mutex<Kind>>,
-    /// While set, the machine hangs: it accepts nothing new and answers nothing.
-    hangs: Arc<AtomicBool>,
+    /// While set, the next answer to an empty query is spoilt: notices follow that never end.
+    spoils: Arc<AtomicBool>,
     log: Log,
     work: Duration,
     reads: Arc<AtomicU64>,
@@ -65,7 +65,7 @@
             id,
             address: listener.local_addr()?,
             kind: Arc::new(Mutex::new(kind)),
-            hangs: Arc::default(),
+            spoils: Arc::default(),
             log: log.clone(),
             work,
             reads: Arc::default(),
@@ -88,8 +88,9 @@
     }
 
 
-    pub fn set_hangs(&self, hangs: bool) {
-        self.hangs.store(hangs, Ordering::SeqCst);
+    /// Spoils the next answer to an empty query.
+    pub fn spoil_next(&self) {
+        self.spoils.store(true, Ordering::SeqCst);
     }
 
     /// The number of reads that it has answered.
@@ -97,17 +98,10 @@
         self.reads.load(Ordering::SeqCst)
     }
 
-    fn wait_while_hanging(&self) {
-        while self.hangs.load(Ordering::SeqCst) {
-            std::thread::sleep(Duration::from_millis(5));
-        }
-    }
-
     fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
         let mut reader = Reader::new();
         reader.startup(&mut stream)?;
-        self.wait_while_hanging();
         let mut out = Vec::new();
         messages::welcome(&mut out);
         stream.write_all(&out)?;
@@ -116,14 +110,35 @@
             if tag != b'Q' {
                 return Ok(());
             }
-            self.wait_while_hanging();
-            let statement = String::from_utf8_lossy(&body[..body.len().saturating_sub(1)]).into_owned();
+                let statement = String::from_utf8_lossy(&body[..body.len().saturating_sub(1)]).into_owned();
             let mut out = Vec::new();
+            if statement.is_empty() && self.spoils.swap(false, Ordering::SeqCst) {
+                return self.answer_without_end(stream);
+            }
             self.execute(&statement, &mut out);
             stream.write_all(&out)?;
         }
     }
 
+    /// Answers an empty query with notices that never end.
+    fn answer_without_end(&self, mut stream: TcpStream) -> std::io::Result<()> {
+        let (mut out, mut sent) = (Vec::new(), 0);
+        messages::push(&mut out, b'I', b"");
+        stream.write_all(&out)?;
+        out.clear();
+        messages::push(&mut out, b'N', b"\0");
+        let out = out.repeat(40_000);
+        self.record.line(&format!("spoilt answer to an empty query by {} begins", self.id));
+        loop {
+            let result = stream.write_all(&out);
+            sent += out.len() as u64;
+            if result.is_err() {
+                self.record.line(&format!("spoilt answer ends with its connection, after {sent} bytes"));
+                return result;
+            }
+        }
+    }
+
     fn execute(&self, statement: &str, out: &mut Vec<u8>) {
         let kind = self.kind();
         if statement.is_empty() {
