Review, case 2: a session's read goes to a new data server that lacks its write

Cause: above 8,192 session tokens the router drops those that the listed data servers have applied. One that joins afterwards starts from an older copy, and reads whose token is gone may go to it.

Change: a case under review/ with its claim and its test. Nothing of the project is changed.

--- a/review/lab/cases.rs
+++ b/review/lab/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod endless_answer;
+mod stale_session_read;
 mod turned_away;
 
 use crate::load::Totals;
@@ -16,6 +17,7 @@
 pub fn run(case: &str, trouble: bool, record: &Record) -> Result<Verdict, String> {
     match case {
         "endless-answer" => endless_answer::run(trouble, record),
+        "stale-session-read" => stale_session_read::run(trouble, record),
         "turned-away" => turned_away::run(trouble, record),
         _ => Err(format!("no case {case}")),
     }
