Review, case 1: the bad client sends at full speed instead of in step with its answers

Cause: with 500 requests out at a time the test depended on two cores: on one core the pooler drained them and the rule held.

--- a/review/lab/cases/turned_away.rs
+++ b/review/lab/cases/turned_away.rs
@@ -6,7 +6,9 @@
 use crate::pooler::{Options, Pooler};
 use crate::record::Record;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 /// The message with which a client asks for TLS, and how many of them the bad client sends at once.
@@ -20,45 +22,46 @@
 const BAD: Duration = Duration::from_secs(6);
 const AFTER: Duration = Duration::from_secs(3);
 
-/// The bad client: it asks for TLS hundreds of times at once, and asks once more for each time that it is
-/// turned away. If its connection ends, it does the same on a new one.
+/// The bad client: it asks for TLS hundreds of times at once, again and again at full speed, and reads whatever
+/// it is sent. If its connection ends, it does the same on a new one.
 struct BadClient<'a> {
     address: SocketAddr,
     record: &'a Record,
-    asked: u64,
-    turned_away: u64,
 }
 
 impl BadClient<'_> {
-    fn run(&mut self, until: Instant) {
+    fn run(&self, until: Instant) {
         while Instant::now() < until {
-            let result = self.run_connection(until);
-            let (asked, turned_away) = (self.asked, self.turned_away);
+            let (mut asked, turned_away) = (0, Arc::new(AtomicU64::new(0)));
+            let result = self.run_connection(until, &mut asked, &turned_away);
+            let turned_away = turned_away.load(Ordering::SeqCst);
             self.record.line(&format!(
                 "bad client: asked {asked} times, turned away {turned_away} times, connection ended: {result:?}"
             ));
         }
     }
 
-    fn run_connection(&mut self, until: Instant) -> std::io::Result<()> {
+    fn run_connection(&self, until: Instant, asked: &mut u64, turned_away: &Arc<AtomicU64>) -> std::io::Result<()> {
         let mut stream = TcpStream::connect(self.address)?;
         stream.set_nodelay(true)?;
-        stream.set_read_timeout(Some(Duration::from_millis(500)))?;
+        stream.set_write_timeout(Some(Duration::from_secs(1)))?;
         self.record.line("bad client: connected");
-        let requests = SSL_REQUEST.repeat(AT_ONCE);
-        stream.write_all(&requests)?;
-        self.asked += AT_ONCE as u64;
-        let mut answers = [0; AT_ONCE];
-        while Instant::now() < until {
-            let count = stream.read(&mut answers)?;
-            if count == 0 || answers[..count].iter().any(|answer| *answer != b'N') {
-                return Ok(());
+        let (mut receiving, count_answers) = (stream.try_clone()?, turned_away.clone());
+        std::thread::spawn(move || {
+            let mut answers = [0; 64 * 1024];
+            while let Ok(count @ 1..) = receiving.read(&mut answers) {
+                let refusals = answers[..count].iter().filter(|answer| **answer == b'N').count();
+                count_answers.fetch_add(refusals as u64, Ordering::SeqCst);
             }
-            self.turned_away += count as u64;
-            stream.write_all(&requests[..count * SSL_REQUEST.len()])?;
-            self.asked += count as u64;
+        });
+        let requests = SSL_REQUEST.repeat(AT_ONCE);
+        let mut result = Ok(());
+        while Instant::now() < until && result.is_ok() {
+            result = stream.write_all(&requests);
+            *asked += AT_ONCE as u64;
         }
-        Ok(())
+        let _ = stream.shutdown(Shutdown::Both);
+        result
     }
 }
 
@@ -69,7 +72,7 @@
     let load = Load::start(pooler.address, CLIENTS, MEAN_PAUSE_S, record);
     std::thread::sleep(BEFORE);
     if trouble {
-        BadClient { address: pooler.address, record, asked: 0, turned_away: 0 }.run(Instant::now() + BAD);
+        BadClient { address: pooler.address, record }.run(Instant::now() + BAD);
     } else {
         std::thread::sleep(BAD);
     }
