--- a/review/lab/client.rs
+++ b/review/lab/client.rs
@@ -15,7 +15,10 @@
     Served(String),
     /// The code of an ErrorResponse.
     Error(String),
-    /// The connection ended, or nothing came in time.
+    /// The connection was refused, or ended before anything came, on a new connection too: such a request was not
+    /// taken, or has failed and is not lost.
+    Closed(String),
+    /// No whole answer came in time, or the connection ended within one.
     None(String),
 }
 
@@ -65,6 +68,10 @@
             Ok(answer) => answer,
             Err(error) => {
                 self.connection = None;
+                let is_excused = is_close(error.kind()) || error.kind() == ErrorKind::ConnectionRefused;
+                if is_excused && !self.received {
+                    return Answer::Closed(error.to_string());
+                }
                 Answer::None(error.to_string())
             }
         }
--- a/review/lab/load.rs
+++ b/review/lab/load.rs
@@ -57,6 +57,7 @@
 pub struct Counts {
     served: AtomicU64,
     refused_or_failed: AtomicU64,
+    closed: AtomicU64,
     unanswered: AtomicU64,
 }
 
@@ -79,14 +80,17 @@
 pub struct Totals {
     pub served: u64,
     pub refused_or_failed: u64,
+    /// Closed or not accepted with nothing sent, which the rule excuses.
+    pub closed: u64,
     /// No whole answer, or one later than it may be.
     pub unanswered: u64,
 }
 
 impl std::fmt::Display for Totals {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let Self { served, refused_or_failed, unanswered } = self;
-        write!(f, "{served} served, {refused_or_failed} refused or failed, {unanswered} without a final answer in time")
+        let Self { served, refused_or_failed, closed, unanswered } = self;
+        write!(f, "{served} served, {refused_or_failed} refused or failed, {closed} closed, ")?;
+        write!(f, "{unanswered} without a final answer in time")
     }
 }
 
@@ -114,6 +118,7 @@
         Totals {
             served: get(&counts.served),
             refused_or_failed: get(&counts.refused_or_failed),
+            closed: get(&counts.closed),
             unanswered: get(&counts.unanswered),
         }
     }
@@ -141,6 +146,7 @@
             let took = sent.elapsed();
             let counter = match &answer {
                 Answer::None(_) => &self.counts.unanswered,
+                Answer::Closed(_) => &self.counts.closed,
                 _ if took > deadline + SLACK => &self.counts.unanswered,
                 Answer::Served(_) => &self.counts.served,
                 Answer::Error(_) => &self.counts.refused_or_failed,
--- a/review/lab/server.rs
+++ b/review/lab/server.rs
@@ -156,6 +156,8 @@
             let position = kind.position_at(now_us());
             let version = self.read(messages::key(statement), position);
             self.reads.fetch_add(1, Ordering::SeqCst);
+            let id = messages::field(statement, "id").unwrap_or("");
+            self.record.line(&format!("run read id={id} at {} position={position}", self.id));
             messages::row(out, format!("{version} {} {position}", self.id).as_bytes(), "SELECT 1");
             messages::parameter(out, "part", if kind.is_primary() { "master" } else { "replica" });
         } else {
