--- a/crates/pooler/tests/sockets/main.rs
+++ b/crates/pooler/tests/sockets/main.rs
@@ -10,6 +10,7 @@
 mod connection_limits;
 mod deadlines;
 mod discovery;
+mod flooding;
 mod freshness;
 mod malformed_input;
 mod proxying;
--- a/crates/pooler/tests/support/fake_discovery.rs
+++ b/crates/pooler/tests/support/fake_discovery.rs
@@ -4,9 +4,13 @@
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::Duration;
 
+/// The head of a response whose body is sent in chunks.
+pub const CHUNKED_RESPONSE_HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 /// Each update is sent in two HTTP chunks, split within its first line: the first chunk has this many bytes.
 const FIRST_CHUNK_BYTES: usize = 7;
 
@@ -45,6 +49,21 @@
         Self::with_format(|update| format!("{update:#}\n"))
     }
 
+    /// A discovery service that calls `respond` with the connection of each request. No watch can be accepted
+    /// from it.
+    pub fn with_response(respond: impl Fn(&mut TcpStream) + Send + Sync + 'static) -> Self {
+        let respond = Arc::new(respond);
+        let address = listen(move |mut socket| {
+            let respond = respond.clone();
+            std::thread::spawn(move || {
+                if read_request(&socket).is_some() {
+                    respond(&mut socket);
+                }
+            });
+        });
+        Self { address, watches: channel().1 }
+    }
+
     fn with_format(format: fn(&Value) -> String) -> Self {
         let (watch_sender, watches) = channel();
         let address = listen(move |socket| {
@@ -82,7 +101,7 @@
 
 /// Writes a chunked HTTP response with these updates, until the watch is ended or dropped.
 fn write_updates(mut socket: TcpStream, updates: &Receiver<Option<Value>>, format: fn(&Value) -> String) {
-    socket.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+    socket.write_all(CHUNKED_RESPONSE_HEAD).unwrap();
     while let Ok(Some(update)) = updates.recv() {
         let line = format(&update) + "\n";
         for chunk in [&line[..FIRST_CHUNK_BYTES], &line[FIRST_CHUNK_BYTES..]] {
--- a/crates/pooler/tests/support/fake_server.rs
+++ b/crates/pooler/tests/support/fake_server.rs
@@ -99,6 +99,25 @@
         (gate, server)
     }
 
+    /// A server that calls `start_up` with each connection on which it has received a startup message, instead
+    /// of serving the connection.
+    pub fn with_startup(
+        id: &'static str,
+        start_up: impl Fn(&mut MessageStream) + Send + Sync + 'static,
+    ) -> Self {
+        let start_up = Arc::new(start_up);
+        let address = listen(move |socket| {
+            let start_up = start_up.clone();
+            std::thread::spawn(move || {
+                let mut stream = MessageStream::new(socket);
+                if stream.read_startup() {
+                    start_up(&mut stream);
+                }
+            });
+        });
+        Self { id, address, received: Arc::default() }
+    }
+
     fn start(
         id: &'static str,
         on_accept: impl Fn() + Send + Sync + 'static,
--- a/crates/pooler/tests/support/mod.rs
+++ b/crates/pooler/tests/support/mod.rs
@@ -7,6 +7,7 @@
 mod configuration;
 mod fake_discovery;
 mod fake_server;
+mod flood;
 mod gate;
 mod message_stream;
 mod pooler_process;
@@ -14,8 +15,9 @@
 
 pub use client::{Client, Response};
 pub use configuration::PoolerConfig;
-pub use fake_discovery::{FakeDiscovery, Watch, delta, snapshot};
+pub use fake_discovery::{CHUNKED_RESPONSE_HEAD, FakeDiscovery, Watch, delta, snapshot};
 pub use fake_server::{AfterStatement, FakeServer};
+pub use flood::{FloodingClient, flood};
 pub use gate::{Gate, GateWaiter};
 pub use message_stream::MessageStream;
 pub use pooler_process::{PoolerProcess, Signal, spawn_pooler};
--- a/crates/proxy/src/buffer.rs
+++ b/crates/proxy/src/buffer.rs
@@ -1,13 +1,17 @@
-//! Read buffers that release large allocations while idle, and vectored writes.
+//! Read buffers that release large allocations while idle, and vectored writes. All I/O of the proxy on
+//! connections goes through this module.
 
 use async_io::Async;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::future::poll_fn;
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWriteExt};
+use pooler_cooperative_io::CooperativeStream;
 use pooler_interrupted_io::RetryInterrupted;
 use std::cell::RefCell;
 use std::collections::VecDeque;
-use std::io::{self, IoSlice, Read};
+use std::io::{self, IoSlice};
 use std::net::TcpStream;
 use std::ops::Range;
+use std::pin::Pin;
 use std::time::Instant;
 
 /// The initial capacity of a buffer, in bytes.
@@ -17,6 +21,9 @@
 /// The number of reads whose arrival times are kept; bytes of later reads get the time of the last of these.
 const MAX_ARRIVALS: usize = 256;
 
+/// A TCP connection on which a task that never has to wait yields to the others.
+pub type TcpConnection = CooperativeStream<Async<TcpStream>>;
+
 /// The time at which the bytes of the stream up to a position had arrived.
 #[derive(Debug)]
 struct Arrival {
@@ -78,7 +85,7 @@
     /// # Errors
     ///
     /// When reading from the stream fails.
-    pub async fn fill(&mut self, stream: &Async<TcpStream>) -> io::Result<usize> {
+    pub async fn fill(&mut self, stream: &TcpConnection) -> io::Result<usize> {
         if self.end == self.bytes.len() {
             self.make_room();
         }
@@ -174,13 +181,9 @@
 /// # Errors
 ///
 /// When reading from the stream fails.
-pub async fn discard(stream: &Async<TcpStream>, scratch: &RefCell<Vec<u8>>) -> io::Result<usize> {
-    loop {
-        match stream.read_with(|mut stream| stream.read(&mut scratch.borrow_mut())).await {
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-            result => return result,
-        }
-    }
+pub async fn discard(stream: &TcpConnection, scratch: &RefCell<Vec<u8>>) -> io::Result<usize> {
+    let mut stream = RetryInterrupted(stream);
+    poll_fn(|context| Pin::new(&mut stream).poll_read(context, &mut scratch.borrow_mut())).await
 }
 
 /// Writes all pieces in order, with vectored writes to save system calls.
@@ -188,7 +191,7 @@
 /// # Errors
 ///
 /// When writing to the stream fails, or a write accepts no bytes.
-pub async fn write_all(stream: &Async<TcpStream>, pieces: &[&[u8]]) -> io::Result<()> {
+pub async fn write_all(stream: &TcpConnection, pieces: &[&[u8]]) -> io::Result<()> {
     let mut slices: Vec<IoSlice<'_>> = pieces.iter().map(|piece| IoSlice::new(piece)).collect();
     let mut remaining = slices.as_mut_slice();
     let mut stream = RetryInterrupted(stream);
--- a/crates/proxy/src/client/accept.rs
+++ b/crates/proxy/src/client/accept.rs
@@ -1,5 +1,6 @@
 //! Accepts client connections within the configured limits; each session runs in a task of its own.
 
+use crate::buffer::TcpConnection;
 use crate::client::connection_slots::{Admission, EvictionClass, Slot};
 use crate::client::context::ClientContext;
 use crate::client::session::ClientSession;
@@ -99,7 +100,7 @@
     let session_context = context.clone();
     let task = async move {
         // An error on one client's connection closes only that connection.
-        let _ = ClientSession::new(&session_context, stream, slot).run(admission).await;
+        let _ = ClientSession::new(&session_context, TcpConnection::new(stream), slot).run(admission).await;
     };
     context.executor.spawn(task).detach();
 }
--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -1,14 +1,14 @@
 //! The connection of one client: reads, writes and closing, each within a time limit.
 
-use crate::buffer::{ReadBuffer, write_all};
+use crate::buffer::{ReadBuffer, TcpConnection, write_all};
 use crate::client::connection_slots::{Admission, EvictionClass, Slot};
 use crate::client::context::ClientContext;
 use crate::client::errors::{ClientError, ErrorReply};
 use crate::client::read_ahead::{NextSkipped, ReadAhead};
 use crate::protocol::write::Severity;
-use async_io::{Async, Timer};
+use async_io::Timer;
 use futures_lite::future::{or, yield_now};
-use std::net::{Shutdown, TcpStream};
+use std::net::Shutdown;
 use std::time::{Duration, Instant};
 
 /// The time that a client has for its first command, counted from its acceptance, and for the rest of any
@@ -56,7 +56,7 @@
 pub(super) struct ClientConnection<'a> {
     context: &'a ClientContext,
     // Declared before `slot`, so that the descriptor is closed before the slot counts as free.
-    stream: Async<TcpStream>,
+    stream: TcpConnection,
     buffer: ReadBuffer,
     slot: Slot,
     phase: SessionPhase,
@@ -69,7 +69,7 @@
 
 impl<'a> ClientConnection<'a> {
     /// Creates the state of a connection that has just been accepted.
-    pub(super) fn new(context: &'a ClientContext, stream: Async<TcpStream>, slot: Slot) -> Self {
+    pub(super) fn new(context: &'a ClientContext, stream: TcpConnection, slot: Slot) -> Self {
         Self {
             context,
             stream,
@@ -220,7 +220,7 @@
         }
         self.write_closed = true;
         self.slot.release();
-        self.stream.get_ref().shutdown(Shutdown::Write)?;
+        self.stream.get_ref().get_ref().shutdown(Shutdown::Write)?;
         self.buffer = ReadBuffer::default();
         let closed_by_client = async {
             while matches!(self.context.read_ahead.discard(&self.stream).await, Ok(1..)) {
@@ -245,7 +245,7 @@
 }
 
 async fn read_once(
-    stream: &Async<TcpStream>,
+    stream: &TcpConnection,
     buffer: &mut ReadBuffer,
     read_ahead: &mut ReadAhead,
 ) -> Result<ReadOutcome, ClientError> {
--- a/crates/proxy/src/client/read_ahead.rs
+++ b/crates/proxy/src/client/read_ahead.rs
@@ -3,13 +3,11 @@
 //! Commands are buffered up to a limit and skipped beyond it, so that a disconnect is detected however much
 //! the client has sent ahead. Skipped commands are rejected after all buffered commands have been answered.
 
-use crate::buffer::{ReadBuffer, discard};
+use crate::buffer::{ReadBuffer, TcpConnection, discard};
 use crate::protocol::{ProtocolError, QuerySkipper, parse_frontend_message};
-use async_io::Async;
 use futures_lite::future::yield_now;
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::net::TcpStream;
 use std::rc::Rc;
 
 /// The limit on the buffered bytes of a client without a large buffer.
@@ -38,7 +36,7 @@
 
     /// Reads once from the stream and discards the bytes. Returns the number of bytes read; 0 at the end of
     /// the stream.
-    pub(crate) async fn discard(&self, stream: &Async<TcpStream>) -> io::Result<usize> {
+    pub(crate) async fn discard(&self, stream: &TcpConnection) -> io::Result<usize> {
         discard(stream, &self.scratch).await
     }
 }
@@ -138,7 +136,7 @@
     }
 
     /// Reads until the client closes its connection or reading fails.
-    pub(crate) async fn read_until_closed(&mut self, stream: &Async<TcpStream>, buffer: &mut ReadBuffer) {
+    pub(crate) async fn read_until_closed(&mut self, stream: &TcpConnection, buffer: &mut ReadBuffer) {
         while self.skipped.is_none() {
             if self.is_full(buffer) {
                 self.skipped = Some(SkippedCommands::begin(buffer));
@@ -164,7 +162,7 @@
     }
 
     /// Reads once and skips the bytes; false at the end of the stream or when reading fails.
-    pub(crate) async fn skip(&mut self, stream: &Async<TcpStream>) -> bool {
+    pub(crate) async fn skip(&mut self, stream: &TcpConnection) -> bool {
         let Ok(count @ 1..) = self.budget.discard(stream).await else { return false };
         if let Some(skipped) = &mut self.skipped {
             skipped.advance(&self.budget.scratch.borrow()[..count]);
--- a/crates/proxy/src/client/session.rs
+++ b/crates/proxy/src/client/session.rs
@@ -1,6 +1,7 @@
 //! The session of one client: performs the startup and executes the client's commands in order, each of which
 //! is answered before the next one begins.
 
+use crate::buffer::TcpConnection;
 use crate::client::cancellation::CancellableSession;
 use crate::client::commands::{Command, take_command};
 use crate::client::connection::{ClientConnection, ClosedBy, ReadOutcome, SessionPhase};
@@ -14,9 +15,7 @@
 use crate::protocol::write::{self, Severity};
 use crate::protocol::{frontend_tag, parse_frontend_message};
 use crate::request::FinalResponse;
-use async_io::Async;
 use futures_lite::future::yield_now;
-use std::net::TcpStream;
 use std::ops::ControlFlow;
 use std::time::Duration;
 
@@ -41,7 +40,7 @@
 
 impl<'a> ClientSession<'a> {
     /// Creates the session of a connection that has just been accepted.
-    pub(super) fn new(context: &'a ClientContext, stream: Async<TcpStream>, slot: Slot) -> Self {
+    pub(super) fn new(context: &'a ClientContext, stream: TcpConnection, slot: Slot) -> Self {
         Self {
             context,
             registration: context.cancellation_keys.register(slot.number()),
--- a/crates/proxy/src/discovery/watch.rs
+++ b/crates/proxy/src/discovery/watch.rs
@@ -6,11 +6,11 @@
 use super::endpoint_list::EndpointList;
 use super::http::{self, HttpError};
 use super::json_stream::{JsonStream, JsonStreamError};
-use crate::buffer::{ReadBuffer, write_all};
+use crate::buffer::{ReadBuffer, TcpConnection, write_all};
 use crate::metrics::Counters;
 use crate::resource_exhaustion::is_resource_exhaustion;
 use async_io::{Async, Timer};
-use futures_lite::future::or;
+use futures_lite::future::{or, yield_now};
 use std::cell::Cell;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -139,6 +139,8 @@
                 BodyPart::Appended => {
                     while let Some(object) = stream.next_object()? {
                         self.apply(&serde_json::from_slice(&object)?);
+                        // One chunk may hold thousands of lists.
+                        yield_now().await;
                     }
                 }
                 BodyPart::Incomplete if connection.fill().await? > 0 => {}
@@ -160,14 +162,14 @@
 
 /// The HTTP connection of one watch.
 struct WatchConnection {
-    stream: Async<TcpStream>,
+    stream: TcpConnection,
     buffer: ReadBuffer,
 }
 
 impl WatchConnection {
     /// Connects to discovery and requests the changes since `generation`.
     async fn open(address: SocketAddr, generation: u64) -> io::Result<Self> {
-        let stream = with_io_timeout(Async::<TcpStream>::connect(address)).await?;
+        let stream = TcpConnection::new(with_io_timeout(Async::<TcpStream>::connect(address)).await?);
         let request = format!(
             "GET /discovery/hosts?follow=1&since={generation} HTTP/1.1\r\nHost: {address}\r\n\
              Accept: application/json\r\n\r\n"
--- a/crates/proxy/src/server/connection.rs
+++ b/crates/proxy/src/server/connection.rs
@@ -2,7 +2,7 @@
 
 use super::attempt::AttemptError;
 use super::connection_limit::ConnectionPermit;
-use crate::buffer::{ReadBuffer, write_all};
+use crate::buffer::{ReadBuffer, TcpConnection, write_all};
 use crate::protocol::{backend_tag, is_ready_for_query, parse_backend_message, parse_error_response, write};
 use crate::resource_exhaustion::is_resource_exhaustion;
 use async_io::Async;
@@ -24,7 +24,7 @@
 #[derive(Debug)]
 pub(super) struct Connection {
     // Declared before the permit, so that the descriptor is closed before the permit is returned.
-    stream: Async<TcpStream>,
+    stream: TcpConnection,
     address: SocketAddr,
     buffer: ReadBuffer,
     idle_since: Instant,
@@ -40,8 +40,13 @@
     pub(super) async fn open(address: SocketAddr, permit: ConnectionPermit) -> Result<Self, AttemptError> {
         let stream = Async::<TcpStream>::connect(address).await.map_err(|error| connect_error(&error))?;
         stream.get_ref().set_nodelay(true)?;
-        let buffer = ReadBuffer::default();
-        let mut connection = Self { stream, address, buffer, idle_since: Instant::now(), _permit: permit };
+        let mut connection = Self {
+            stream: TcpConnection::new(stream),
+            address,
+            buffer: ReadBuffer::default(),
+            idle_since: Instant::now(),
+            _permit: permit,
+        };
         connection.start_up().await?;
         connection.idle_since = Instant::now();
         Ok(connection)
@@ -105,7 +110,7 @@
     /// Whether the connection can carry another request: it is connected to the endpoint's current `address`,
     /// is open, has no unread bytes and has been idle for less than `max_idle`.
     pub(super) fn is_reusable(&self, address: Option<SocketAddr>, max_idle: Duration) -> bool {
-        let open_and_empty = match self.stream.get_ref().peek(&mut [0]) {
+        let open_and_empty = match self.stream.get_ref().get_ref().peek(&mut [0]) {
             Err(error) => matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
             Ok(_) => false,
         };
--- a/crates/proxy/tests/buffer.rs
+++ b/crates/proxy/tests/buffer.rs
@@ -2,20 +2,20 @@
 
 use async_io::Async;
 use futures_lite::future::block_on;
-use pooler_proxy::buffer::ReadBuffer;
+use pooler_proxy::buffer::{ReadBuffer, TcpConnection};
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 
 /// Opens a connection and returns its client end and its server end.
-fn connection() -> (TcpStream, Async<TcpStream>) {
+fn connection() -> (TcpStream, TcpConnection) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let client = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
     let (server, _) = listener.accept().unwrap();
-    (client, Async::new(server).unwrap())
+    (client, TcpConnection::new(Async::new(server).unwrap()))
 }
 
 /// Sends the bytes, and reads until the buffer holds them.
-fn send_and_fill(buffer: &mut ReadBuffer, client: &mut TcpStream, server: &Async<TcpStream>, bytes: &[u8]) {
+fn send_and_fill(buffer: &mut ReadBuffer, client: &mut TcpStream, server: &TcpConnection, bytes: &[u8]) {
     let expected = buffer.data().len() + bytes.len();
     client.write_all(bytes).unwrap();
     while buffer.data().len() < expected {
--- a/crates/service-registry/src/client/connection.rs
+++ b/crates/service-registry/src/client/connection.rs
@@ -11,6 +11,7 @@
 use hyper::Request;
 use hyper::body::Bytes;
 use hyper::client::conn::http1::{self, SendRequest};
+use pooler_cooperative_io::CooperativeStream;
 use pooler_interrupted_io::RetryInterrupted;
 use rustls_pki_types::ServerName;
 use smol_hyper::rt::FuturesIo;
@@ -34,7 +35,7 @@
     pub(super) async fn open(server: &RegistryServer, tls: Option<&TlsConnector>) -> Result<Self, CallError> {
         let stream = Async::<TcpStream>::connect(server.address()).await.map_err(CallError::Connect)?;
         stream.get_ref().set_nodelay(true).map_err(CallError::Connect)?;
-        let stream = RetryInterrupted(stream);
+        let stream = CooperativeStream::new(RetryInterrupted(stream));
         match tls.filter(|_| server.is_tls()) {
             None => Self::handshake(stream).await,
             Some(tls) => {
--- a/crates/service-registry/tests/client.rs
+++ b/crates/service-registry/tests/client.rs
@@ -7,20 +7,26 @@
 use futures_rustls::rustls::{RootCertStore, ServerConfig};
 use pooler_routing::TimeDelta;
 use pooler_service_registry::client::{
-    ApiRequest, BasicCredentials, BodyHandler, CallError, Client, ClientIdentity, Credentials,
+    ApiRequest, BasicCredentials, BodyHandler, CallError, Client, ClientIdentity, Credentials, DiscardBody,
     RegistryServer, SetupError, UnsupportedContentType,
 };
 use pooler_service_registry::eureka::body::BodyError;
 use rcgen::{CertificateParams, CertifiedIssuer, KeyPair};
 use rustls_pki_types::PrivateKeyDer;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::fs::PermissionsExt;
 use std::path::PathBuf;
 use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Arc, OnceLock};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(20);
+/// The time limit of a call to a server whose response does not end, and what the limit may be exceeded by.
+const SHORT_CALL_TIMEOUT: Duration = Duration::from_millis(200);
+const LATENESS_ALLOWED: Duration = Duration::from_millis(500);
+/// A response without an end is sent for this long, so that a call that is not limited ends nevertheless.
+const MAX_FLOOD_TIME: Duration = Duration::from_secs(4);
 const OK_RESPONSE: &str = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}";
 
 /// Starts a server that sends `responses` in order, `responses_per_connection` on each connection. An empty
@@ -79,6 +85,23 @@
     let _ = stream.close().await;
 }
 
+/// Starts a server that answers each request with `opening`, and then repeats `message` at full speed until
+/// its client closes the connection, at most for [`MAX_FLOOD_TIME`].
+fn serve_flood(opening: &'static [u8], message: &'static [u8]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        while let Ok((mut stream, _)) = listener.accept() {
+            let messages = message.repeat(4_096);
+            let _ = stream.read(&mut [0; 4_096]);
+            let _ = stream.write_all(opening);
+            let end = Instant::now() + MAX_FLOOD_TIME;
+            while Instant::now() < end && stream.write_all(&messages).is_ok() {}
+        }
+    });
+    address
+}
+
 /// Stores the body of a response.
 #[derive(Default)]
 struct BodyBuffer(Vec<u8>);
@@ -129,6 +152,24 @@
     assert!(first.contains(&format!("host: {address}\r\n")), "{first}");
 }
 
+#[test]
+fn a_response_that_never_ends_does_not_outlast_the_time_limit_of_the_call() {
+    // Guards against a registry whose endless response keeps the pooler's only thread: the time limit beside
+    // the call was not looked at meanwhile.
+    let chunked = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let floods: [(&[u8], &[u8]); 2] = [(b"", b"HTTP/1.1 100 Continue\r\n\r\n"), (chunked, b"1\r\n \r\n")];
+    for (opening, message) in floods {
+        let server = plain_server(serve_flood(opening, message));
+        let mut client = Client::new(&Credentials::default(), false, SHORT_CALL_TIMEOUT).unwrap();
+        let started = Instant::now();
+        let result = block_on(client.call(&server, &ApiRequest::get("/apps"), &mut DiscardBody));
+        let elapsed = started.elapsed();
+        let message = String::from_utf8_lossy(message);
+        assert!(matches!(result, Err(CallError::TimedOut(_))), "{message:?}: {result:?} after {elapsed:?}");
+        assert!(elapsed <= SHORT_CALL_TIMEOUT + LATENESS_ALLOWED, "{message:?}: {elapsed:?}");
+    }
+}
+
 #[test]
 fn error_statuses_and_invalid_responses_are_errors() {
     let (address, _requests) = serve(
