--- a/crates/routing/src/router/deadlines.rs
+++ b/crates/routing/src/router/deadlines.rs
@@ -22,7 +22,7 @@
             actions.push(Action::Subscribe);
         }
         self.queue_schedule.start_sweep();
-        if self.session_tokens.is_full() {
+        if self.session_tokens.should_remove_applied() {
             let view = self.view(now);
             let usable = self.endpoints.iter().filter(|endpoint| view.accepts_new_work(endpoint));
             let lowest_position = usable.map(|endpoint| endpoint.freshness.position()).min();
--- a/crates/routing/src/router/dispatch.rs
+++ b/crates/routing/src/router/dispatch.rs
@@ -4,7 +4,10 @@
 use super::freshness::carried_session_token;
 use super::in_flight::{AttemptId, InFlightAttempt};
 use super::requests::PendingRequest;
-use crate::{Action, EndpointId, GroupId, Operation, Request, RequestId, SessionTokenSource, Timestamp};
+use crate::{
+    Action, EndpointId, GroupId, Operation, Request, RequestId, SessionKey, SessionTokenSource,
+    StaleReadPolicy, Timestamp,
+};
 
 impl Router {
     /// Accepts a new request and routes it. A request of an unknown class fails at once.
@@ -17,9 +20,7 @@
             SessionTokenSource::Request => {
                 request.since_last_write.map(|elapsed| carried_session_token(now, elapsed))
             }
-            SessionTokenSource::Router => {
-                request.session.and_then(|session| self.session_tokens.get(session))
-            }
+            SessionTokenSource::Router => request.session.and_then(|session| self.session_token(session)),
         };
         let pending = PendingRequest::new(now, request, class, session_token);
         self.demand.record_arrival(now, &pending, class.priority_weight);
@@ -29,6 +30,17 @@
         self.route(now, request.id, actions);
     }
 
+    /// The position that the reads of a session must include. A session without a token may have written
+    /// before its token was removed, so its reads must include the low watermark. Endpoints that reject stale
+    /// reads check that by themselves.
+    fn session_token(&self, session: SessionKey) -> Option<Timestamp> {
+        let token = self.session_tokens.get(session);
+        match self.settings.stale_read_policy {
+            StaleReadPolicy::Serve => token.or(self.session_tokens.low_watermark()),
+            StaleReadPolicy::Reject => token,
+        }
+    }
+
     /// Sends a request to an endpoint, queues it if no endpoint can take it, or gives it up. Load shedding
     /// applies only to new requests.
     pub(super) fn route(&mut self, now: Timestamp, id: RequestId, actions: &mut Vec<Action>) {
--- a/crates/routing/src/router/endpoint_reports.rs
+++ b/crates/routing/src/router/endpoint_reports.rs
@@ -95,7 +95,9 @@
     }
 
     fn on_clock_set_back(&mut self, now: Timestamp) {
-        self.endpoints.cap_times(self.clock.to_fleet_time(now));
+        let present = self.clock.to_fleet_time(now);
+        self.endpoints.cap_times(present);
+        self.session_tokens.cap_low_watermark(present);
         self.endpoints.recompute_listed_starts(now, &self.clock);
         self.log.set("the fleet clock was ahead and has been set back".to_owned());
     }
--- a/crates/routing/src/router/freshness.rs
+++ b/crates/routing/src/router/freshness.rs
@@ -20,7 +20,12 @@
 /// since reads arrive within a second of their session's writes.
 const CAUGHT_UP_CHECK_INTERVAL: TimeDelta = TimeDelta::from_millis(100);
 /// Above this number of session tokens, those that every endpoint has applied are removed.
-const MAX_SESSION_TOKENS: usize = 8_192;
+const MAX_APPLIED_TOKENS: usize = 8_192;
+/// Above this number of session tokens, the oldest are removed, whether or not every endpoint has applied
+/// them.
+const MAX_SESSION_TOKENS: usize = 50_000;
+/// The number of session tokens that are left when the oldest are removed.
+const TOKENS_LEFT: usize = 40_000;
 /// Added to the session token that a request carries: the commit time was rounded up, and its age may have
 /// been rounded too.
 const CARRIED_TOKEN_MARGIN: TimeDelta = TimeDelta::from_millis(1);
@@ -156,9 +161,13 @@
 }
 
 /// The session tokens: by session, the position of its last commit, which its reads must include.
+///
+/// A token can't be forgotten for good: an endpoint that joins or returns later may start from an older copy
+/// of the data. Removed tokens are replaced by the low watermark, which is at or after each of them.
 #[derive(Clone, Debug, Default)]
 pub(super) struct SessionTokens {
     last_commits: HashMap<SessionKey, Timestamp>,
+    low_watermark: Option<Timestamp>,
 }
 
 impl SessionTokens {
@@ -167,20 +176,55 @@
         self.last_commits.get(&session).copied()
     }
 
-    /// Records the position of a commit. An earlier one than that recorded changes nothing.
+    /// The position that includes the commits of all sessions whose tokens were removed.
+    pub(super) fn low_watermark(&self) -> Option<Timestamp> {
+        self.low_watermark
+    }
+
+    /// Records the position of a commit. An earlier one than that recorded changes nothing, nor does one that
+    /// the low watermark includes.
     pub(super) fn record_commit(&mut self, session: SessionKey, commit: Timestamp) {
+        if Some(commit) <= self.low_watermark {
+            return;
+        }
         let token = self.last_commits.entry(session).or_insert(commit);
         *token = commit.max(*token);
+        if self.last_commits.len() > MAX_SESSION_TOKENS {
+            self.remove_oldest();
+        }
     }
 
     /// Whether there are so many tokens that those applied everywhere should be removed.
-    pub(super) fn is_full(&self) -> bool {
-        self.last_commits.len() > MAX_SESSION_TOKENS
+    pub(super) fn should_remove_applied(&self) -> bool {
+        self.last_commits.len() > MAX_APPLIED_TOKENS
     }
 
     /// Removes the tokens that every endpoint has applied. `lowest_position` is the lowest position of any
     /// endpoint, or `None` if there is no endpoint; then all are kept.
     pub(super) fn remove_applied(&mut self, lowest_position: Option<Timestamp>) {
-        self.last_commits.retain(|_, commit| Some(*commit) > lowest_position);
+        if let Some(position) = lowest_position
+            && lowest_position > self.low_watermark
+        {
+            self.remove_up_to(position);
+        }
+    }
+
+    /// Removes all but the latest [`TOKENS_LEFT`] tokens.
+    fn remove_oldest(&mut self) {
+        let mut commits: Vec<Timestamp> = self.last_commits.values().copied().collect();
+        let Some(last_removed) = commits.len().checked_sub(TOKENS_LEFT + 1) else { return };
+        let (_, latest_removed, _) = commits.select_nth_unstable(last_removed);
+        self.remove_up_to(*latest_removed);
+    }
+
+    /// Removes the tokens up to and including `position`, which becomes the low watermark.
+    fn remove_up_to(&mut self, position: Timestamp) {
+        self.last_commits.retain(|_, commit| *commit > position);
+        self.low_watermark = self.low_watermark.max(Some(position));
+    }
+
+    /// Lowers a low watermark that is later than the present, after the fleet clock was set back.
+    pub(super) fn cap_low_watermark(&mut self, present: Timestamp) {
+        self.low_watermark = self.low_watermark.map(|watermark| watermark.min(present));
     }
 }
--- a/crates/routing/src/router/freshness/tests.rs
+++ b/crates/routing/src/router/freshness/tests.rs
@@ -1,4 +1,4 @@
-use super::{ReplicaFreshness, SessionTokens};
+use super::{MAX_SESSION_TOKENS, ReplicaFreshness, SessionTokens, TOKENS_LEFT};
 use crate::{SessionKey, StaleReadPolicy, TimeDelta, Timestamp};
 
 const NOW: Timestamp = Timestamp(50_000_000);
@@ -63,4 +63,48 @@
     assert_eq!(tokens.get(session), Some(NOW));
     tokens.remove_applied(Some(NOW));
     assert_eq!(tokens.get(session), None);
+    assert_eq!(tokens.low_watermark(), Some(NOW), "it includes the commit whose token was removed");
+}
+
+#[test]
+fn a_commit_that_the_low_watermark_includes_does_not_replace_a_later_one_that_was_removed() {
+    // Guards against a stale read after the responses to two writes of one session arrive in reverse order,
+    // the earlier one after the token was removed.
+    let (mut tokens, session) = (SessionTokens::default(), SessionKey(1));
+    tokens.record_commit(session, NOW);
+    tokens.remove_applied(Some(NOW));
+    tokens.record_commit(session, NOW - ms(10));
+    assert_eq!((tokens.get(session), tokens.low_watermark()), (None, Some(NOW)));
+    tokens.record_commit(session, NOW + ms(10));
+    assert_eq!(tokens.get(session), Some(NOW + ms(10)));
+}
+
+#[test]
+fn the_number_of_tokens_is_bounded_and_every_commit_stays_included() {
+    // Guards against memory that grows with the number of sessions while the position of an endpoint is
+    // unknown, so that no token can be removed as applied.
+    let mut tokens = SessionTokens::default();
+    let count = 3 * MAX_SESSION_TOKENS as u64;
+    let commit_of = |session: u64| NOW + ms(session as i64);
+    for session in 0..count {
+        tokens.record_commit(SessionKey(session), commit_of(session));
+        assert!(tokens.last_commits.len() <= MAX_SESSION_TOKENS);
+    }
+    let watermark = tokens.low_watermark().unwrap();
+    for session in 0..count {
+        let token = tokens.get(SessionKey(session)).unwrap_or(watermark);
+        assert!(token >= commit_of(session), "session {session}");
+    }
+    let latest_sessions = count - TOKENS_LEFT as u64..count;
+    assert!(latest_sessions.map(SessionKey).all(|session| tokens.get(session).is_some()));
+}
+
+#[test]
+fn a_low_watermark_later_than_the_present_is_lowered_when_the_clock_is_set_back() {
+    // Guards against reads of all sessions that wait for a position far in the future.
+    let mut tokens = SessionTokens::default();
+    tokens.record_commit(SessionKey(1), NOW);
+    tokens.remove_applied(Some(NOW));
+    tokens.cap_low_watermark(NOW - ms(200));
+    assert_eq!(tokens.low_watermark(), Some(NOW - ms(200)));
 }
--- a/crates/routing/tests/router/freshness.rs
+++ b/crates/routing/tests/router/freshness.rs
@@ -168,3 +168,75 @@
     };
     assert_eq!(sent_to(&host.report(Event::Request(request))), [endpoint_id(2)]);
 }
+
+/// More sessions than a router keeps tokens for once all endpoints have applied them.
+const MANY_SESSIONS: u64 = 8_300;
+/// The number of reads in a check: enough that each eligible endpoint gets some.
+const READS: u64 = 60;
+
+/// Lets [`MANY_SESSIONS`] sessions write at the primary, endpoint 1, and then reports from endpoints 1 to 3 that
+/// they have applied all of it. Advances the clock, so that the tokens are removed.
+fn write_in_many_sessions(host: &mut TestHost) {
+    for session in 0..MANY_SESSIONS {
+        let (id, actions) = host.request_in_session(KEYED_WRITE, session);
+        assert_eq!(sent_to(&actions), [endpoint_id(1)]);
+        host.advance_clock(1);
+        host.complete_at_position(id, 1, host.now);
+    }
+    host.complete_health_check(1, Role::Primary, 0);
+    host.complete_health_check(2, Role::Replica, 0);
+    host.complete_health_check(3, Role::Replica, 0);
+    host.advance(100);
+}
+
+/// Makes [`READS`] reads, each of a session that has written, and returns whether any was sent to an endpoint.
+fn session_reads_reach(host: &mut TestHost, endpoint: usize) -> bool {
+    let mut reached = false;
+    for session in 0..READS {
+        let (id, actions) = host.request_in_session(SESSION_READ, session);
+        for sent in sent_to(&actions) {
+            reached |= sent == endpoint_id(endpoint);
+            host.complete_attempt(id, 0, endpoint_number(4, &sent), AttemptOutcome::Ok);
+        }
+    }
+    reached
+}
+
+#[test]
+fn an_endpoint_that_joins_with_older_data_gets_no_reads_of_sessions_that_wrote_before() {
+    // Guards against a stale read after so many sessions have written that their tokens are removed: a new
+    // endpoint starts from an older copy.
+    let mut host = TestHost::with_primary(settings_serving_stale_reads());
+    write_in_many_sessions(&mut host);
+    host.update_endpoints(vec![endpoint_entry(4)]);
+    assert!(!session_reads_reach(&mut host, 4), "nothing is known of the data of endpoint 4");
+    host.complete_health_check(4, Role::Replica, 6_000);
+    assert!(!session_reads_reach(&mut host, 4), "endpoint 4 lacks the writes of the last 6 s");
+    host.complete_health_check(4, Role::Replica, 0);
+    assert!(session_reads_reach(&mut host, 4), "endpoint 4 has caught up");
+}
+
+#[test]
+fn an_endpoint_that_returns_with_older_data_gets_no_reads_of_sessions_that_wrote_meanwhile() {
+    // Guards against the same for an endpoint that was drained, and so did not count, when the tokens were
+    // removed.
+    let mut host = TestHost::with_primary(settings_serving_stale_reads());
+    host.update_endpoints(vec![endpoint_entry(4)]);
+    host.complete_health_check(4, Role::Replica, 0);
+    assert!(session_reads_reach(&mut host, 4));
+    host.set_lifecycle(4, Lifecycle::Draining);
+    write_in_many_sessions(&mut host);
+    host.set_lifecycle(4, Lifecycle::Active);
+    assert!(!session_reads_reach(&mut host, 4), "endpoint 4 lacks the writes since its drain");
+    host.complete_health_check(4, Role::Replica, 0);
+    assert!(session_reads_reach(&mut host, 4), "endpoint 4 has caught up");
+}
+
+#[test]
+fn an_endpoint_that_rejects_stale_reads_itself_gets_reads_of_sessions_without_a_token() {
+    let mut host = TestHost::with_primary(settings());
+    write_in_many_sessions(&mut host);
+    host.update_endpoints(vec![endpoint_entry(4)]);
+    host.complete_health_check(4, Role::Replica, 6_000);
+    assert!(session_reads_reach(&mut host, 4));
+}
