Process a registry's body in small parts, with a yield after each

Cause: a received part of a body, up to 64 KiB, was decompressed and decoded without a pause.

Change: parts of 512 bytes (chosen: half a megabyte at most after decompression), and a yield after each.

Result: the new test counts what is processed between two turns of another task: 8,486,912 bytes before, under 1 MiB now.

--- a/crates/service-registry/src/client/response.rs
+++ b/crates/service-registry/src/client/response.rs
@@ -3,6 +3,7 @@
 use super::error::CallError;
 use crate::eureka::body::BodyError;
 use flate2::write::GzDecoder;
+use futures_lite::future::yield_now;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -10,6 +11,9 @@
 use pooler_routing::TimeDelta;
 use std::io::{self, Write};
 
+/// The size of the parts in which a received frame is processed, in bytes. Decompression makes a part up to a
+/// thousand times as large.
+const FRAME_PART_SIZE: usize = 512;
 /// A longer content type is cut in error messages.
 const MAX_CONTENT_TYPE_CHARS: usize = 80;
 
@@ -126,8 +130,11 @@
 
 async fn copy_body(response: &mut Response<Incoming>, writer: &mut impl Write) -> Result<(), CopyError> {
     while let Some(frame) = response.frame().await {
-        if let Ok(data) = frame.map_err(CopyError::Receive)?.into_data() {
-            writer.write_all(&data).map_err(CopyError::Write)?;
+        let Ok(data) = frame.map_err(CopyError::Receive)?.into_data() else { continue };
+        for part in data.chunks(FRAME_PART_SIZE) {
+            writer.write_all(part).map_err(CopyError::Write)?;
+            // Other tasks must not wait until the whole frame is processed.
+            yield_now().await;
         }
     }
     Ok(())
--- a/crates/service-registry/tests/client.rs
+++ b/crates/service-registry/tests/client.rs
@@ -1,6 +1,9 @@
 //! HTTP calls, plain and over TLS, to a server that the test runs on the loopback interface.
 
 use async_io::{Async, block_on};
+use flate2::Compression;
+use flate2::write::GzEncoder;
+use futures_lite::future::{yield_now, zip};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use futures_rustls::TlsAcceptor;
 use futures_rustls::rustls::server::WebPkiClientVerifier;
@@ -13,6 +16,7 @@
 use pooler_service_registry::eureka::body::BodyError;
 use rcgen::{CertificateParams, CertifiedIssuer, KeyPair};
 use rustls_pki_types::PrivateKeyDer;
+use std::cell::Cell;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::fs::PermissionsExt;
@@ -27,6 +31,10 @@
 const LATENESS_ALLOWED: Duration = Duration::from_millis(500);
 /// A response without an end is sent for this long, so that a call that is not limited ends nevertheless.
 const MAX_FLOOD_TIME: Duration = Duration::from_secs(4);
+/// The size of a body that is compressed, in bytes.
+const DECOMPRESSED_SIZE: usize = 16 * 1024 * 1024;
+/// The most decompressed bytes that may be processed before other tasks have their turn: a millisecond's work.
+const MAX_PROCESSED_AT_ONCE: usize = 1024 * 1024;
 const OK_RESPONSE: &str = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}";
 
 /// Starts a server that sends `responses` in order, `responses_per_connection` on each connection. An empty
@@ -102,6 +110,48 @@
     address
 }
 
+/// Starts a server that answers one request with these bytes. The receiver gets the head of the request.
+fn serve_bytes(response: Vec<u8>) -> (SocketAddr, Receiver<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, requests) = channel();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut head = vec![0; 4_096];
+        let size = stream.read(&mut head).unwrap();
+        let _ = sender.send(String::from_utf8_lossy(&head[..size]).into_owned());
+        let _ = stream.write_all(&response);
+    });
+    (address, requests)
+}
+
+/// A response whose body of [`DECOMPRESSED_SIZE`] zeros is about a thousandth as large when compressed.
+fn compressed_response() -> Vec<u8> {
+    let mut encoder = GzEncoder::new(Vec::new(), Compression::default());
+    encoder.write_all(&vec![0; DECOMPRESSED_SIZE]).unwrap();
+    let body = encoder.finish().unwrap();
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Encoding: gzip\r\n\
+         Content-Length: {}\r\n\r\n",
+        body.len()
+    );
+    [head.as_bytes(), &body].concat()
+}
+
+/// Counts the bytes of a body.
+struct ByteCounter<'a>(&'a Cell<usize>);
+
+impl BodyHandler for ByteCounter<'_> {
+    fn on_content_type(&mut self, _: &str) -> Result<(), UnsupportedContentType> {
+        Ok(())
+    }
+
+    fn on_data(&mut self, data: &[u8]) -> Result<(), BodyError> {
+        self.0.set(self.0.get() + data.len());
+        Ok(())
+    }
+}
+
 /// Stores the body of a response.
 #[derive(Default)]
 struct BodyBuffer(Vec<u8>);
@@ -170,6 +220,30 @@
     }
 }
 
+#[test]
+fn a_body_that_is_decompressed_to_a_multiple_of_its_size_delays_no_other_task() {
+    // Guards against a registry whose compressed body keeps the pooler's only thread while one received part
+    // of it is decompressed.
+    let (address, _) = serve_bytes(compressed_response());
+    let mut client = Client::new(&Credentials::default(), false, CALL_TIMEOUT).unwrap();
+    let server = plain_server(address);
+    let received = Cell::new(0);
+    let call = async {
+        client.call(&server, &ApiRequest::get("/apps"), &mut ByteCounter(&received)).await.unwrap();
+    };
+    let other_task = async {
+        let (mut seen, mut most) = (0, 0);
+        while seen < DECOMPRESSED_SIZE {
+            yield_now().await;
+            most = most.max(received.get() - seen);
+            seen = received.get();
+        }
+        most
+    };
+    let ((), most) = block_on(zip(call, other_task));
+    assert!(most <= MAX_PROCESSED_AT_ONCE, "another task had to wait until {most} bytes were processed");
+}
+
 #[test]
 fn error_statuses_and_invalid_responses_are_errors() {
     let (address, _requests) = serve(
