Yield before a client's read, so that input that has arrived keeps its precedence

Cause: where a client's read is combined with its deadline, the shutdown and an eviction, bytes that can be read take precedence. Since the read itself could yield, after 8 operations that did not wait, and the shutdown then went before a command that had arrived. By reading; not seen.

Change: `CooperativeStream::yield_if_due` yields before the read. The deadline of a command is looked at there as well, for a client that never stops sending.

All tests of the sockets pass.

--- a/crates/cooperative-io/src/lib.rs
+++ b/crates/cooperative-io/src/lib.rs
@@ -5,6 +5,7 @@
 //! served never waits, so without the wrapper a loop over such input would keep all other tasks from running,
 //! and a time limit beside the loop would never be looked at.
 
+use futures_lite::future::yield_now;
 use futures_lite::{AsyncRead, AsyncWrite};
 use std::cell::Cell;
 use std::io::{self, IoSlice};
@@ -30,6 +31,17 @@
         Self { stream, budget: OperationBudget::default() }
     }
 
+    /// Yields if the next operation would yield, so that the operation itself does not. Returns whether it
+    /// yielded.
+    pub async fn yield_if_due(&self) -> bool {
+        let is_due = self.budget.is_exhausted();
+        if is_due {
+            self.budget.reset();
+            yield_now().await;
+        }
+        is_due
+    }
+
     /// The wrapped stream. Operations on it are not counted.
     pub fn get_ref(&self) -> &S {
         &self.stream
@@ -43,20 +55,32 @@
 }
 
 impl OperationBudget {
+    /// Whether the task has to yield before the next operation.
+    fn is_exhausted(&self) -> bool {
+        self.ready_operations.get() >= MAX_READY_OPERATIONS
+    }
+
+    fn reset(&self) {
+        self.ready_operations.set(0);
+    }
+
     /// Polls an operation, or yields instead if too many operations have completed without waiting.
     fn poll<T>(
         &self,
         context: &mut Context<'_>,
         operation: impl FnOnce(&mut Context<'_>) -> Poll<T>,
     ) -> Poll<T> {
-        let completed = self.ready_operations.get();
-        if completed >= MAX_READY_OPERATIONS {
-            self.ready_operations.set(0);
+        if self.is_exhausted() {
+            self.reset();
             context.waker().wake_by_ref();
             return Poll::Pending;
         }
         let result = operation(context);
-        self.ready_operations.set(if result.is_ready() { completed + 1 } else { 0 });
+        if result.is_ready() {
+            self.ready_operations.set(self.ready_operations.get() + 1);
+        } else {
+            self.reset();
+        }
         result
     }
 }
--- a/crates/cooperative-io/tests/stream.rs
+++ b/crates/cooperative-io/tests/stream.rs
@@ -32,6 +32,19 @@
     assert!(block_on(poll_once(writes)).is_none(), "the writes must not complete in a single poll");
 }
 
+#[test]
+fn a_read_after_an_early_yield_completes_at_once() {
+    // Guards against input that has arrived being passed over for a time limit that is polled after the read.
+    let mut stream = CooperativeStream::new(repeat(b'x'));
+    let mut yields = 0;
+    for _ in 0..MANY {
+        yields += usize::from(block_on(stream.yield_if_due()));
+        let read = block_on(poll_once(stream.read(&mut [0; 16])));
+        assert!(read.is_some(), "the read must not yield");
+    }
+    assert!(yields > 0);
+}
+
 #[test]
 fn a_task_that_has_yielded_is_woken_and_completes() {
     let mut stream = CooperativeStream::new(repeat(b'x'));
--- a/crates/pooler/tests/sockets/flooding.rs
+++ b/crates/pooler/tests/sockets/flooding.rs
@@ -14,6 +14,8 @@
 /// when the flood is under way.
 const REQUESTS: u32 = 6;
 const PAUSE: Duration = Duration::from_millis(200);
+/// The earliest SIGKILL after a SIGTERM: the longest deadline, 3 s at most, and 0.7 s.
+const EARLIEST_KILL: Duration = Duration::from_millis(3_700);
 
 const SSL_REQUEST: &[u8] = b"\0\0\0\x08\x04\xd2\x16\x2f";
 /// A message of the extended query protocol, after which all input up to Sync is discarded.
@@ -68,6 +70,22 @@
     assert_served_in_time(&mut other);
 }
 
+#[test]
+fn a_client_that_sends_without_pause_does_not_delay_the_end_of_the_process() {
+    // Guards against a pooler that does not notice SIGTERM, or does not end, while a client keeps sending.
+    let server = FakeServer::answering("s-1", "replica");
+    for (opening, message) in [(Vec::new(), SSL_REQUEST), (startup_bytes(PARSE), FLUSH)] {
+        let mut pooler = PoolerProcess::with_replica(&server);
+        let _flood = FloodingClient::start(pooler.address, &opening, message);
+        std::thread::sleep(PAUSE);
+        let terminated_at = Instant::now();
+        pooler.signal(Signal::Terminate);
+        assert!(pooler.wait().success());
+        let elapsed = terminated_at.elapsed();
+        assert!(elapsed < EARLIEST_KILL, "the process ended {elapsed:?} after SIGTERM");
+    }
+}
+
 #[test]
 fn an_endless_answer_to_a_validation_delays_no_client() {
     // Guards against a server whose notices behind the response to an empty query never end and keep the
--- a/crates/pooler/tests/support/flood.rs
+++ b/crates/pooler/tests/support/flood.rs
@@ -23,26 +23,18 @@
     /// Starts a client that sends `opening` on each new connection, and then repeats `message`.
     pub fn start(address: SocketAddr, opening: &[u8], message: &[u8]) -> Self {
         let (opening, message) = (opening.to_vec(), message.to_vec());
-        Self::start_with(move || {
-            let mut socket = TcpStream::connect(address).unwrap();
-            let _ = socket.write_all(&opening);
-            (socket, message.clone())
-        })
-    }
-
-    /// Starts a client that repeats `message` on the connections that `connect` opens.
-    pub fn start_with(connect: impl Fn() -> (TcpStream, Vec<u8>) + Send + 'static) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let stopped = stop.clone();
         let sender = std::thread::spawn(move || {
             let end = Instant::now() + MAX_FLOOD_TIME;
-            while !stopped.load(Ordering::Relaxed) && Instant::now() < end {
-                let (socket, message) = connect();
+            let goes_on = || !stopped.load(Ordering::Relaxed) && Instant::now() < end;
+            while goes_on() {
+                // The pooler under test may have ended.
+                let Ok(mut socket) = TcpStream::connect(address) else { return };
                 let receiver = socket.try_clone().unwrap();
                 std::thread::spawn(move || discard_input(receiver));
-                write_repeatedly(socket, &message, || {
-                    !stopped.load(Ordering::Relaxed) && Instant::now() < end
-                });
+                let _ = socket.write_all(&opening);
+                write_repeatedly(socket, &message, goes_on);
             }
         });
         Self { stop, sender: Some(sender) }
--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -137,6 +137,12 @@
         }
         self.buffer.shrink_if_empty();
         let deadline = self.command_deadline(is_between_commands);
+        // Here rather than in the read below, where another reason would take precedence over bytes that can
+        // be read. The deadline holds for a client that never stops sending as well.
+        let is_flooding = self.stream.yield_if_due().await;
+        if is_flooding && deadline.is_some_and(|deadline| deadline <= Instant::now()) {
+            return Ok(ReadOutcome::Closed(ClosedBy::Pooler));
+        }
         let shutdown_stage = if is_between_commands { &stages.closing_idle } else { &stages.terminating };
         let timeout = async {
             sleep_until(deadline).await;
