Reject a client that requests encryption more than twice

Change: an SSLRequest and a GSSENCRequest are answered, as by PostgreSQL; the next one is a protocol violation (08P01), after which the connection is closed. A link in the documentation of cooperative-io, which `cargo doc` refused, is gone.

--- a/crates/cooperative-io/src/lib.rs
+++ b/crates/cooperative-io/src/lib.rs
@@ -16,9 +16,9 @@
 /// response of the largest size that has arrived completely takes fewer reads.
 const MAX_READY_OPERATIONS: u32 = 8;
 
-/// Wraps a stream and returns [`Poll::Pending`] once after [`MAX_READY_OPERATIONS`] reads and writes in
-/// succession that completed without waiting. The task is woken at once, so that it continues after the other
-/// tasks that are ready to run.
+/// Wraps a stream and returns [`Poll::Pending`] once after some reads and writes in succession that completed
+/// without waiting. The task is woken at once, so that it continues after the other tasks that are ready to
+/// run.
 #[derive(Debug)]
 pub struct CooperativeStream<S> {
     stream: S,
--- a/crates/pooler/tests/sockets/malformed_input.rs
+++ b/crates/pooler/tests/sockets/malformed_input.rs
@@ -1,7 +1,8 @@
 //! Invalid and incomplete input from clients.
 
 use crate::support::*;
-use std::io::Write;
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::time::Instant;
 
 /// Statements that the pooler answers without a server, with the tags of their responses.
@@ -25,6 +26,9 @@
 const PROTOCOL_VIOLATIONS: [&[u8]; 4] =
     [b"Q\xff\xff\xff\xff", b"Q\0\0\0\0", b"Q\0\0\0\x06ab", b"\x01\0\0\0\x04"];
 
+const SSL_REQUEST: &[u8] = b"\0\0\0\x08\x04\xd2\x16\x2f";
+const GSSENC_REQUEST: &[u8] = b"\0\0\0\x08\x04\xd2\x16\x30";
+
 #[test]
 fn malformed_input_is_rejected_and_affects_no_other_client() {
     let server = FakeServer::answering("s-1", "replica");
@@ -70,6 +74,28 @@
     assert_eq!(other.query(&read_statement("1")).text(), Some("s-1"));
 }
 
+#[test]
+fn a_client_that_requests_encryption_again_and_again_is_rejected() {
+    // Guards against one client that repeats SSLRequest and is answered for as long as it goes on.
+    let server = FakeServer::answering("s-1", "replica");
+    let pooler = PoolerProcess::with_replica(&server);
+    let mut socket = TcpStream::connect(pooler.address).unwrap();
+    socket.write_all(&[GSSENC_REQUEST, SSL_REQUEST].concat()).unwrap();
+    let mut answers = [0; 2];
+    socket.read_exact(&mut answers).unwrap();
+    assert_eq!(&answers, b"NN", "each kind of encryption may be requested");
+    let mut client = Client::on_socket(socket.try_clone().unwrap(), &read_statement("1"));
+    assert!(client.read_response().is_ready(), "the session must start");
+    assert_eq!(client.read_response().text(), Some("s-1"));
+
+    let mut socket = TcpStream::connect(pooler.address).unwrap();
+    socket.write_all(&SSL_REQUEST.repeat(500)).unwrap();
+    socket.read_exact(&mut answers).unwrap();
+    let mut client = Client { stream: MessageStream::new(socket) };
+    let response = client.read_response();
+    assert_eq!((response.tags.as_str(), response.sql_state()), ("E", Some("08P01")));
+}
+
 #[test]
 fn a_request_id_in_use_is_rejected() {
     let (gate, server) = FakeServer::with_gated_responses("s-1");
--- a/crates/proxy/src/client/startup.rs
+++ b/crates/proxy/src/client/startup.rs
@@ -5,10 +5,12 @@
 use crate::client::connection_slots::Admission;
 use crate::client::context::ClientContext;
 use crate::client::errors::{ClientError, ErrorReply};
-use crate::protocol::{BackendKeyData, StartupMessage, parse_startup_message, write};
+use crate::protocol::{BackendKeyData, ProtocolError, StartupMessage, parse_startup_message, write};
 
 /// The response to SSLRequest and GSSENCRequest: encryption is not supported.
 const ENCRYPTION_NOT_SUPPORTED: &[u8] = b"N";
+/// The number of encryption requests that a client may make: an SSLRequest and a GSSENCRequest.
+const MAX_ENCRYPTION_REQUESTS: u32 = 2;
 /// The capacity of the buffer for the messages that start a session, in bytes.
 const SESSION_START_CAPACITY: usize = 256;
 
@@ -50,6 +52,7 @@
     context: &ClientContext,
     connection: &mut ClientConnection<'_>,
 ) -> Result<StartupOutcome, ClientError> {
+    let mut encryption_requests = 0;
     loop {
         let Some((message, size)) = parse_startup_message(connection.buffer().data())? else {
             if connection.read_more().await? != ReadOutcome::BytesRead {
@@ -59,7 +62,13 @@
         };
         connection.buffer().consume(size);
         match message {
-            StartupMessage::EncryptionRequest => connection.send(&[ENCRYPTION_NOT_SUPPORTED]).await?,
+            StartupMessage::EncryptionRequest if encryption_requests == MAX_ENCRYPTION_REQUESTS => {
+                return Err(ProtocolError::RepeatedEncryptionRequest.into());
+            }
+            StartupMessage::EncryptionRequest => {
+                encryption_requests += 1;
+                connection.send(&[ENCRYPTION_NOT_SUPPORTED]).await?;
+            }
             StartupMessage::CancelRequest(key) => {
                 context.cancellation_keys.cancel(key);
                 return Ok(StartupOutcome::Done);
--- a/crates/proxy/src/protocol/error.rs
+++ b/crates/proxy/src/protocol/error.rs
@@ -14,6 +14,9 @@
         /// The requested minor version.
         minor: u16,
     },
+    /// The client requested encryption again after it was told that encryption is not supported.
+    #[error("encryption was requested again")]
+    RepeatedEncryptionRequest,
     /// A part of the stream is malformed; the text names the part.
     #[error("malformed {0}")]
     Malformed(&'static str),
