Split the lists in one chunk of discovery without moving the bytes after each

Cause: each list that was taken from the stream of a watch had all bytes behind it copied, so that a chunk with many short lists took a time that grows with the square of its size, and the watch fell behind. Chunks without a list were taken without a yield.

Change: the bytes of returned objects stay in the buffer until more are pushed; the watch yields after each chunk.

--- a/crates/proxy/src/discovery/json_stream.rs
+++ b/crates/proxy/src/discovery/json_stream.rs
@@ -22,7 +22,9 @@
 #[derive(Debug, Default)]
 pub struct JsonStream {
     buffer: Vec<u8>,
-    /// The number of bytes in the buffer that have been scanned.
+    /// The offset in the buffer of the first byte that no returned object contains.
+    start: usize,
+    /// The offset in the buffer of the first byte that has not been scanned.
     scanned: usize,
     /// The number of braces that are open at the scan position.
     depth: usize,
@@ -35,6 +37,9 @@
 impl JsonStream {
     /// Appends the next bytes of the stream.
     pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.drain(..self.start);
+        self.scanned -= self.start;
+        self.start = 0;
         self.buffer.extend_from_slice(bytes);
     }
 
@@ -49,14 +54,19 @@
             self.scanned += 1;
             self.check_for_empty_line(byte)?;
             if self.ends_object(byte)? {
-                return Ok(Some(self.split_off_object()));
+                return Ok(Some(self.take_object()));
             }
         }
         if self.depth == 0 {
-            self.buffer.clear();
+            self.buffer = Vec::new();
+            self.start = 0;
             self.scanned = 0;
         }
-        if self.buffer.len() > MAX_OBJECT_SIZE { Err(JsonStreamError::TooLarge) } else { Ok(None) }
+        if self.buffer.len() - self.start > MAX_OBJECT_SIZE {
+            Err(JsonStreamError::TooLarge)
+        } else {
+            Ok(None)
+        }
     }
 
     /// Fails at the end of an empty line inside an object.
@@ -87,10 +97,11 @@
         Ok(false)
     }
 
-    /// Removes the scanned bytes, which end with a complete object, from the buffer.
-    fn split_off_object(&mut self) -> Vec<u8> {
-        let rest = self.buffer.split_off(self.scanned);
-        self.scanned = 0;
-        std::mem::replace(&mut self.buffer, rest)
+    /// Returns the scanned bytes since the last object, which end with a complete object. They stay in the
+    /// buffer until more bytes are pushed, so that the bytes after them need not be moved for each object.
+    fn take_object(&mut self) -> Vec<u8> {
+        let object = self.buffer[self.start..self.scanned].to_vec();
+        self.start = self.scanned;
+        object
     }
 }
--- a/crates/proxy/src/discovery/watch.rs
+++ b/crates/proxy/src/discovery/watch.rs
@@ -142,6 +142,8 @@
                         // One chunk may hold thousands of lists.
                         yield_now().await;
                     }
+                    // The buffer may hold thousands of chunks.
+                    yield_now().await;
                 }
                 BodyPart::Incomplete if connection.fill().await? > 0 => {}
                 BodyPart::Incomplete | BodyPart::End => return Ok(()),
--- a/crates/proxy/tests/discovery.rs
+++ b/crates/proxy/tests/discovery.rs
@@ -2,8 +2,13 @@
 
 use pooler_proxy::discovery::backoff::{Backoff, WatchEnd};
 use pooler_proxy::discovery::json_stream::{JsonStream, JsonStreamError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+/// A change of the endpoint list counts as known after this time.
+const CHANGE_APPLIED_WITHIN: Duration = Duration::from_secs(6);
+/// The number of objects in one part of a stream: a chunk of the largest size, 4 MiB, can hold twice as
+/// many.
+const OBJECTS: usize = 1_000_000;
 /// How long a call waits at discovery before it is rejected.
 const REJECTED_AFTER: Duration = Duration::from_secs(2);
 
@@ -109,3 +114,17 @@
         assert!((0..50).all(|_| backoff.next_delay(WatchEnd::NotSent) <= Duration::from_millis(80)));
     }
 }
+
+#[test]
+fn thousands_of_objects_in_one_part_of_a_stream_are_split_in_time() {
+    // Guards against a discovery service that packs thousands of lists into one chunk: the bytes after each
+    // object were copied anew, so that the watch fell behind.
+    let mut stream = JsonStream::default();
+    stream.push(&b"{}".repeat(OBJECTS));
+    let started = Instant::now();
+    for number in 0..OBJECTS {
+        assert_eq!(stream.next_object(), Ok(Some(b"{}".to_vec())), "object {number}");
+    }
+    assert_eq!(stream.next_object(), Ok(None));
+    assert!(started.elapsed() < CHANGE_APPLIED_WITHIN, "{:?}", started.elapsed());
+}
