Say after what time the client sent its request, where a test finds it evicted

Cause: at_the_connection_limit_no_client_is_evicted_until_another_connects failed once; a pause of over 2 s before that request, after which the connection may be closed, is suspected, and the message could not tell.

Change: the message has the time since the client connected, and the counters. The check is the same.

The entry stays in KNOWN-RED.txt.

--- a/crates/pooler/tests/sockets/connection_limits.rs
+++ b/crates/pooler/tests/sockets/connection_limits.rs
@@ -62,12 +62,18 @@
 fn at_the_connection_limit_no_client_is_evicted_until_another_connects() {
     let (gate, server) = FakeServer::with_gated_responses("s-1");
     let pooler = start_with_few_sockets(&server);
+    let connecting_at = Instant::now();
     let mut last = Client::connect(&pooler);
     let mut busy: Vec<Client> = (0..14).map(|number| busy_client(&pooler, &number.to_string())).collect();
     pooler.wait_for_counter(" requests=14 ");
     // All slots are taken, and this client has held its slot without a request for the longest time.
+    let waited = connecting_at.elapsed();
     last.send_query(&read_statement("15"));
-    assert!(pooler.reaches_counter(" requests=15 "), "the client must not have been evicted");
+    assert!(
+        pooler.reaches_counter(" requests=15 "),
+        "the client must not have been evicted; it sent its request after {waited:?}: {}",
+        pooler.counters()
+    );
     busy.push(last);
     gate.open();
     assert!(busy.iter_mut().all(|client| client.read_response().is_ready()));
