--- a/crates/cooperative-io/tests/stream.rs
+++ b/crates/cooperative-io/tests/stream.rs
@@ -47,6 +47,7 @@
 
 #[test]
 fn a_task_that_has_yielded_is_woken_and_completes() {
+    // Guards against a task that yields and is never run again.
     let mut stream = CooperativeStream::new(repeat(b'x'));
     let mut bytes = vec![0; MANY];
     block_on(async {
--- a/crates/routing/tests/router/freshness.rs
+++ b/crates/routing/tests/router/freshness.rs
@@ -234,6 +234,7 @@
 
 #[test]
 fn an_endpoint_that_rejects_stale_reads_itself_gets_reads_of_sessions_without_a_token() {
+    // Guards against reads held back from an endpoint that would check them by itself.
     let mut host = TestHost::with_primary(settings());
     write_in_many_sessions(&mut host);
     host.update_endpoints(vec![endpoint_entry(4)]);
