Review case 8: requests on new connections go unanswered beside bad clients

Cause: the listener is served one connection a round, with an eviction for each, while every round reads from all lingering connections of bad clients; requests wait in the backlog beyond their time and the half second after it.

Change: review/8 and its part of the stand-ins.

--- a/review/lab-2/common.rs
+++ b/review/lab-2/common.rs
@@ -284,6 +284,15 @@
         self.messages.stream.write_all(&out)
     }
 
+    /// Whether the pooler has not ended the connection.
+    pub fn is_open(&self) -> bool {
+        let _ = self.messages.stream.set_read_timeout(Some(Duration::from_millis(1)));
+        match self.messages.stream.peek(&mut [0]) {
+            Ok(count) => count > 0,
+            Err(error) => matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut),
+        }
+    }
+
     /// Reads the answer to one statement, up to ReadyForQuery, until `limit`.
     pub fn answer(&mut self, limit: Instant) -> Answer {
         let mut answer = None;
--- a/review/lab-2/load.rs
+++ b/review/lab-2/load.rs
@@ -208,7 +208,8 @@
         format!("{:08x}{:08x}", rand_u64() as u32, self.next_id.fetch_add(1, Ordering::SeqCst))
     }
 
-    fn pick_class(&self) -> &Class {
+    /// A class, drawn by the shares.
+    pub fn pick_class(&self) -> &Class {
         let total: f64 = self.classes.iter().map(|class| class.share).sum();
         let mut draw = rand_f64() * total;
         for class in &self.classes {
--- a/review/lab-2/main.rs
+++ b/review/lab-2/main.rs
@@ -3,6 +3,7 @@
 
 mod case_6;
 mod case_7;
+mod case_8;
 mod common;
 mod discovery;
 mod load;
@@ -22,6 +23,7 @@
     let result = match case.as_str() {
         "6" => case_6::run(root),
         "7" => case_7::run(root),
+        "8" => case_8::run(root),
         _ => Err(std::io::Error::other("no such case")),
     };
     let code = match result {
