--- a/review/lab-2/case_6.rs
+++ b/review/lab-2/case_6.rs
@@ -33,6 +33,9 @@
     configuration.sockets = SOCKETS;
     let mut pooler = Pooler::start(root, &folder, "n1", &configuration.json())?;
     pooler.wait_ready(listen)?;
+    if allocated_kb(pooler.id()) == 0 {
+        return Err(io::Error::other("the system does not tell how much memory a process has allocated"));
+    }
     let load = Arc::new(Load::new(listen, vec![1]));
     let clients = start_clients(&load, USUAL_CLIENTS);
     sleep_ms(2000);
@@ -117,7 +120,8 @@
     let text = process_status(process);
     let fields = ["VmRSS", "RssAnon", "RssFile", "RssShmem"];
     let lines = text.lines().filter(|line| fields.iter().any(|field| line.starts_with(field)));
-    let lines: Vec<String> = lines.map(|line| line.split_whitespace().collect::<Vec<_>>().join(" ")).collect();
+    let lines: Vec<String> =
+        lines.map(|line| line.split_whitespace().collect::<Vec<_>>().join(" ")).collect();
     lines.join(", ")
 }
 
--- a/review/lab-2/common.rs
+++ b/review/lab-2/common.rs
@@ -318,8 +318,8 @@
                     _ => {}
                 },
                 Ok(None) => return answer.unwrap_or(Answer::Closed),
-                Err(error)
-                    if matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {}
+                Err(error) if matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+                }
                 Err(_) => return answer.unwrap_or(Answer::Closed),
             }
         }
@@ -356,6 +356,15 @@
     }
 }
 
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Kills the poolers that still run.
+pub fn kill_all() {
+    for process in lock(&STARTED).iter() {
+        signal(*process, SIGKILL);
+    }
+}
+
 /// A pooler, started with the `run` command of the deploy file; killed when dropped.
 pub struct Pooler {
     pub child: Child,
@@ -381,6 +390,7 @@
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()?;
+        lock(&STARTED).push(child.id());
         Ok(Self { child, config: path })
     }
 
@@ -423,6 +433,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        lock(&STARTED).retain(|process| *process != self.child.id());
     }
 }
 
--- a/review/lab-2/discovery.rs
+++ b/review/lab-2/discovery.rs
@@ -213,13 +213,7 @@
         result
     }
 
-    fn watch(
-        &self,
-        stream: &mut TcpStream,
-        number: u64,
-        since: u64,
-        ended: &AtomicBool,
-    ) -> io::Result<()> {
+    fn watch(&self, stream: &mut TcpStream, number: u64, since: u64, ended: &AtomicBool) -> io::Result<()> {
         stream.write_all(
             b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n",
         )?;
--- a/review/lab-2/load.rs
+++ b/review/lab-2/load.rs
@@ -24,10 +24,9 @@
 
 /// The classes of the site.
 pub fn site_classes() -> Vec<Class> {
-    let forced: Option<&'static str> = match std::env::var("EFFECT").as_deref() { Ok("fragile") => Some("fragile"), Ok("dedup") => Some("dedup"), Ok("retryable") => Some("retryable"), _ => None };
     let class = |name, effect, need, bound_ms, objective_ms, deadline_ms, worth, late, share| Class {
         name,
-        effect: forced.unwrap_or(effect),
+        effect,
         need,
         bound_ms,
         objective_ms,
@@ -286,9 +285,7 @@
 }
 
 fn quoted_hash(text: &str) -> u64 {
-    text.bytes().fold(1469598103934665603, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(1099511628211)
-    })
+    text.bytes().fold(1469598103934665603, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(1099511628211))
 }
 
 /// Starts `count` clients; they end after `stop` is set.
--- a/review/lab-2/main.rs
+++ b/review/lab-2/main.rs
@@ -20,6 +20,13 @@
         std::process::exit(2);
     }
     common::seed_rng(common::now_us() as u64);
+    // No case takes longer than this.
+    let _ = common::spawn(|| {
+        common::sleep_ms(110_000);
+        common::conclude("could not run: not over after 110 s");
+        common::kill_all();
+        std::process::exit(2);
+    });
     let result = match case.as_str() {
         "6" => case_6::run(root),
         "7" => case_7::run(root),
--- a/review/lab-2/world.rs
+++ b/review/lab-2/world.rs
@@ -4,7 +4,7 @@
 use crate::common::*;
 use crate::discovery::Entry;
 use crate::say;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::io::{self, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering};
@@ -126,8 +126,6 @@
     /// Counts the deaths: threads of an earlier process end.
     life: AtomicU64,
     pub probes: AtomicU64,
-    /// Of a cold server: its start, the share of its capacity then, and the time until it is warm.
-    warm: Mutex<Option<(i64, f64, f64)>>,
 }
 
 impl Server {
@@ -159,7 +157,6 @@
             next_connection: AtomicU64::new(0),
             life: AtomicU64::new(0),
             probes: AtomicU64::new(0),
-            warm: Mutex::new(None),
         });
         server.clone().listen(listener);
         let ticking = server.clone();
@@ -258,16 +255,6 @@
         }
     }
 
-    pub fn warm_from(&self, started: i64, floor: f64, seconds: f64) {
-        *lock(&self.warm) = Some((started, floor, seconds));
-    }
-
-    /// The share of its capacity that the server has now.
-    pub fn warmth(&self) -> f64 {
-        let Some((started, floor, seconds)) = *lock(&self.warm) else { return 1.0 };
-        (floor + (1.0 - floor) * (now_us() - started) as f64 / 1e6 / seconds).min(1.0)
-    }
-
     pub fn connection_count(&self) -> usize {
         lock(&self.connections).len()
     }
@@ -338,13 +325,7 @@
     }
 
     /// Answers one statement; false if the connection ends.
-    fn answer(
-        &self,
-        messages: &mut Messages,
-        text: &str,
-        message: &Message,
-        life: u64,
-    ) -> io::Result<bool> {
+    fn answer(&self, messages: &mut Messages, text: &str, message: &Message, life: u64) -> io::Result<bool> {
         let mut out = Vec::new();
         if text.is_empty() || text.starts_with("SET") || text.starts_with("RESET") {
             push_message(&mut out, b'I', b"");
@@ -412,7 +393,7 @@
         let position = self.position();
         let as_primary = self.is_primary();
         let (from, to) = if is_write { settings.write_ms } else { settings.read_ms };
-        let slowness = self.slowness.load(Ordering::SeqCst) as f64 / 1000.0 / self.warmth();
+        let slowness = self.slowness.load(Ordering::SeqCst) as f64 / 1000.0;
         std::thread::sleep(Duration::from_secs_f64(rand_range(from, to) * slowness / 1000.0));
         let running = self.wait_while_hung(life);
         self.leave();
@@ -507,15 +488,6 @@
     }
 }
 
-/// Attempts by request id.
-pub fn by_request(attempts: &[Attempt]) -> BTreeMap<&str, Vec<&Attempt>> {
-    let mut requests: BTreeMap<&str, Vec<&Attempt>> = BTreeMap::new();
-    for attempt in attempts {
-        requests.entry(&attempt.id).or_default().push(attempt);
-    }
-    requests
-}
-
 /// Starts a group of data servers, of which the third is the primary.
 pub fn start_group(
     cell: i64,
