Write the answers to commands sent at once together

Callers saw errors that came over 3 s after they had stopped, behind 300 empty queries each from 190 clients; other clients shared the thread with the answers.

Cause: the session wrote each answer that needs no server by itself, one system call a command. /proc/PID/io counted 1,016 writes for 1,000 commands.

Fix: such answers are collected while further commands are in the read buffer, up to 4 KiB, and written before more input is read and before a request is routed. The test failed before with 1,016 writes; at most 100 are allowed.

--- a/crates/pooler/tests/sockets/flooding.rs
+++ b/crates/pooler/tests/sockets/flooding.rs
@@ -17,6 +17,10 @@
 /// The earliest SIGKILL after a SIGTERM: the longest deadline, 3 s at most, and 0.7 s.
 const EARLIEST_KILL: Duration = Duration::from_millis(3_700);
 
+/// Commands that the pooler answers by itself, and how many of them a client sends at once.
+const CHEAP_COMMANDS: [&str; 2] = ["", "SET x = 1"];
+const COMMANDS_AT_ONCE: usize = 1_000;
+
 const SSL_REQUEST: &[u8] = b"\0\0\0\x08\x04\xd2\x16\x2f";
 /// A message of the extended query protocol, after which all input up to Sync is discarded.
 const PARSE: &[u8] = b"P\0\0\0\x08\0\0\0\0";
@@ -50,6 +54,25 @@
     }
 }
 
+#[test]
+fn commands_sent_at_once_are_answered_in_few_writes() {
+    // Guards against clients that send many commands at once, each of which costs a system call, and whose
+    // answers come too late for that, as do those of other clients.
+    let server = FakeServer::answering("s-1", "replica");
+    let pooler = PoolerProcess::with_replica(&server);
+    let mut client = Client::connect(&pooler);
+    let write_calls_before = pooler.write_calls();
+    client.stream.write_bytes(&query_bytes((0..COMMANDS_AT_ONCE).map(|number| CHEAP_COMMANDS[number % 2])));
+    for number in 0..COMMANDS_AT_ONCE {
+        assert_eq!(client.read_response().tags, ["IZ", "CZ"][number % 2], "command {number}");
+    }
+    let write_calls = pooler.write_calls() - write_calls_before;
+    assert!(write_calls <= COMMANDS_AT_ONCE / 10, "{write_calls} writes for {COMMANDS_AT_ONCE} commands");
+    // A response that was collected goes out before the pooler waits for a server.
+    client.stream.write_bytes(&query_bytes(["", &read_statement("1"), "SET x = 1"]));
+    assert_eq!([(); 3].map(|()| client.read_response().tags), ["IZ", "TDCZ", "CZ"]);
+}
+
 #[test]
 fn repeated_encryption_requests_delay_no_other_client() {
     // Guards against one client that repeats SSLRequest and keeps the pooler's only thread.
--- a/crates/pooler/tests/support/pooler_process.rs
+++ b/crates/pooler/tests/support/pooler_process.rs
@@ -112,6 +112,13 @@
         self.child.id()
     }
 
+    /// The number of write calls that the process has made so far.
+    pub fn write_calls(&self) -> usize {
+        let io = std::fs::read_to_string(format!("/proc/{}/io", self.id())).unwrap();
+        let calls = io.lines().find_map(|line| line.strip_prefix("syscw: "));
+        calls.unwrap().parse().unwrap()
+    }
+
     pub fn signal(&self, signal: Signal) {
         assert!(signal.send_to(self.id()));
     }
--- a/crates/proxy/src/client/session.rs
+++ b/crates/proxy/src/client/session.rs
@@ -24,8 +24,9 @@
 const REJECTION_PAUSE: Duration = Duration::from_millis(50);
 /// The number of rejected commands after which the connection is closed.
 const MAX_REJECTED_COMMANDS: u32 = 8;
-/// The largest capacity that the buffer for responses keeps between two commands, in bytes.
-const MAX_IDLE_RESPONSE_CAPACITY: usize = 4 * 1024;
+/// The size from which collected responses are written, in bytes; also the largest capacity that their buffer
+/// keeps.
+const MAX_COLLECTED_RESPONSES: usize = 4 * 1024;
 
 /// The session of one client.
 pub(super) struct ClientSession<'a> {
@@ -36,6 +37,10 @@
     /// Whether all messages up to the next Sync are discarded, as after an error in the extended query
     /// protocol.
     skip_until_sync: bool,
+    /// Responses that have not been written yet. Those to commands that the pooler answers by itself are
+    /// collected while further commands are in the read buffer: a write for each would cost other clients more
+    /// than the commands do.
+    responses: Vec<u8>,
 }
 
 impl<'a> ClientSession<'a> {
@@ -47,12 +52,15 @@
             connection: ClientConnection::new(context, stream, slot),
             rejected_commands: 0,
             skip_until_sync: false,
+            responses: Vec::new(),
         }
     }
 
     /// Serves the client until its connection is closed.
     pub(super) async fn run(&mut self, admission: Admission) -> Result<(), ClientError> {
-        match self.serve(admission).await {
+        let served = self.serve(admission).await;
+        self.write_responses().await?;
+        match served {
             Ok(closed_by) => self.connection.finish(closed_by).await,
             Err(ClientError::Protocol(error)) => {
                 self.context.counters.rejected_statements.increment();
@@ -71,9 +79,9 @@
     }
 
     async fn serve_commands(&mut self) -> Result<ClosedBy, ClientError> {
-        let mut out = Vec::new();
         loop {
             let Some(message) = parse_frontend_message(self.connection.buffer().data())? else {
+                self.write_responses().await?;
                 match self.read_next_command().await? {
                     ControlFlow::Continue(()) => continue,
                     ControlFlow::Break(closed_by) => return Ok(closed_by),
@@ -84,20 +92,29 @@
                 self.connection.buffer().consume(size);
                 continue;
             }
-            out.clear();
             let command = take_command(self.context, self.connection.buffer(), tag, size)?;
-            if let ControlFlow::Break(closed_by) = self.execute(command, &mut out).await? {
+            if let ControlFlow::Break(closed_by) = self.execute(command).await? {
                 return Ok(closed_by);
             }
             self.connection.restart_idle_time();
             // A client that sends many commands at once must not delay other clients.
             yield_now().await;
-            if out.capacity() > MAX_IDLE_RESPONSE_CAPACITY {
-                out = Vec::new();
-            }
         }
     }
 
+    /// Writes the responses that have been collected.
+    async fn write_responses(&mut self) -> Result<(), ClientError> {
+        if self.responses.is_empty() {
+            return Ok(());
+        }
+        let result = self.connection.send(&[&self.responses]).await;
+        self.responses.clear();
+        if self.responses.capacity() > MAX_COLLECTED_RESPONSES {
+            self.responses = Vec::new();
+        }
+        result
+    }
+
     /// Continues after all commands in the buffer have been answered: rejects skipped commands if there are
     /// any, and reads more bytes otherwise.
     async fn read_next_command(&mut self) -> Result<ControlFlow<ClosedBy>, ClientError> {
@@ -116,31 +133,31 @@
         Ok(ControlFlow::Continue(()))
     }
 
-    /// Executes a command and sends its response; `out` is an empty buffer for the response.
-    async fn execute(
-        &mut self,
-        command: Command<'_>,
-        out: &mut Vec<u8>,
-    ) -> Result<ControlFlow<ClosedBy>, ClientError> {
+    /// Executes a command; its response is sent or collected.
+    async fn execute(&mut self, command: Command<'_>) -> Result<ControlFlow<ClosedBy>, ClientError> {
         match command {
-            Command::Request(request) => return self.execute_request(request, out).await,
-            Command::Rejected(error) => return self.reject(error, out).await,
+            Command::Request(request) => return self.execute_request(request).await,
+            Command::Rejected(error) => return self.reject(error).await,
             Command::Terminate => return Ok(ControlFlow::Break(ClosedBy::Client)),
             Command::Ignored => return Ok(ControlFlow::Continue(())),
-            Command::EmptyQuery => write::empty_query_response(out),
-            Command::SessionSetting(command_tag) => write::command_complete(out, command_tag),
+            Command::EmptyQuery => write::empty_query_response(&mut self.responses),
+            Command::SessionSetting(command_tag) => {
+                write::command_complete(&mut self.responses, command_tag);
+            }
             Command::Sync => self.skip_until_sync = false,
         }
-        write::ready_for_query(out);
-        self.connection.send(&[out]).await?;
+        write::ready_for_query(&mut self.responses);
+        if self.responses.len() >= MAX_COLLECTED_RESPONSES {
+            self.write_responses().await?;
+        }
         Ok(ControlFlow::Continue(()))
     }
 
     async fn execute_request(
         &mut self,
         request: RoutableRequest<'_>,
-        out: &mut Vec<u8>,
     ) -> Result<ControlFlow<ClosedBy>, ClientError> {
+        self.write_responses().await?;
         let RoutableRequest { request, id } = request;
         self.connection.enter_phase(SessionPhase::Established);
         let response = if self.context.shutdown_stages.terminating.is_set() {
@@ -151,30 +168,28 @@
         } else {
             serve_request(self.context, &mut self.connection, &self.registration, request, id.as_str()).await
         };
-        let flow = send_final_response(&self.connection, response, out).await?;
+        let flow = send_final_response(&self.connection, response, &mut self.responses).await;
+        self.responses.clear();
         // No other request may use the id before the client has received the final response.
         drop(id);
-        Ok(flow)
+        flow
     }
 
     /// Rejects a command that is not served; closes the connection after too many rejected commands.
-    async fn reject(
-        &mut self,
-        error: ErrorReply,
-        out: &mut Vec<u8>,
-    ) -> Result<ControlFlow<ClosedBy>, ClientError> {
+    async fn reject(&mut self, error: ErrorReply) -> Result<ControlFlow<ClosedBy>, ClientError> {
         self.context.counters.rejected_statements.increment();
         self.rejected_commands += 1;
         if self.rejected_commands >= MAX_REJECTED_COMMANDS {
+            self.write_responses().await?;
             self.connection.close_with_error(error).await?;
             return Ok(ControlFlow::Break(ClosedBy::Client));
         }
-        error.write(out, Severity::Error);
+        error.write(&mut self.responses, Severity::Error);
         self.skip_until_sync = matches!(error, ErrorReply::OnlySimpleQueries);
         if !self.skip_until_sync {
-            write::ready_for_query(out);
+            write::ready_for_query(&mut self.responses);
         }
-        self.connection.send(&[out]).await?;
+        self.write_responses().await?;
         if !self.connection.pause(REJECTION_PAUSE).await {
             return Ok(ControlFlow::Break(ClosedBy::Pooler));
         }
