--- a/crates/pooler/src/commands/list_endpoints.rs
+++ b/crates/pooler/src/commands/list_endpoints.rs
@@ -76,6 +76,11 @@
         self.0.borrow_mut().merge(self.now(), REGISTRY, event)
     }
 
+    /// The command lists the endpoints once, and no limit is configured for it.
+    fn reserve_memory(&self, _: usize) -> bool {
+        true
+    }
+
     fn log(&self, line: &dyn fmt::Display) {
         let _ = writeln!(std::io::stderr(), "{line}");
     }
--- a/crates/pooler/src/registry_discovery.rs
+++ b/crates/pooler/src/registry_discovery.rs
@@ -5,6 +5,7 @@
 use pooler_operator_config::RegistrySettings;
 use pooler_proxy::Pooler;
 use pooler_proxy::discovery::endpoint_directory::{EndpointUpdates, REGISTRY};
+use pooler_proxy::memory_budget::{MemoryUse, Reservation};
 use pooler_routing::membership::{MergeResult, WatchEvent};
 use pooler_routing::{Lifecycle, Timestamp};
 use pooler_service_registry::client::SetupError;
@@ -12,6 +13,7 @@
 use pooler_service_registry::{
     EventSink, Registrar, RegistrationState, RegistryConfig, RegistryCounters, RegistryWatcher,
 };
+use std::cell::RefCell;
 use std::fmt;
 use std::future::Future;
 use std::rc::Rc;
@@ -39,7 +41,8 @@
     let counters = Rc::new(RegistryCounters::default());
     let updates = pooler.endpoint_updates();
     updates.set_self_preservation(REGISTRY, config.self_preservation);
-    let sink = DirectorySink { updates, registration: registration.clone() };
+    let reservation = Rc::new(RefCell::new(pooler.memory_reservation()));
+    let sink = DirectorySink { updates, registration: registration.clone(), reservation };
     start_registrar(pooler, &config, &sink, &counters)?;
     let registers_itself = config.self_registration.is_some();
     let watcher = RegistryWatcher::new(config, seed, sink, counters.clone())?;
@@ -77,6 +80,8 @@
 struct DirectorySink {
     updates: EndpointUpdates,
     registration: Rc<RegistrationState>,
+    /// The memory of the poll in progress.
+    reservation: Rc<RefCell<Reservation>>,
 }
 
 impl EventSink for DirectorySink {
@@ -94,6 +99,10 @@
         result
     }
 
+    fn reserve_memory(&self, size: usize) -> bool {
+        self.reservation.borrow_mut().try_resize(MemoryUse::EndpointList, size)
+    }
+
     fn log(&self, line: &dyn fmt::Display) {
         tracing::warn!("{line}");
     }
--- a/crates/pooler/tests/sockets/main.rs
+++ b/crates/pooler/tests/sockets/main.rs
@@ -13,6 +13,7 @@
 mod flooding;
 mod freshness;
 mod malformed_input;
+mod memory;
 mod proxying;
 mod reload;
 mod server_connections;
--- a/crates/pooler/tests/support/mod.rs
+++ b/crates/pooler/tests/support/mod.rs
@@ -20,7 +20,7 @@
 pub use flood::{FloodingClient, flood};
 pub use gate::{Gate, GateWaiter};
 pub use message_stream::MessageStream;
-pub use pooler_process::{PoolerProcess, Signal, spawn_pooler};
+pub use pooler_process::{PoolerProcess, Signal, allocated_kib, spawn_pooler};
 pub use statements::{
     BEYOND_READ_AHEAD_BYTES, DEADLINE_FIELD, query_bytes, read_statement, startup_bytes, with_deadline,
     write_statement,
--- a/crates/pooler/tests/support/pooler_process.rs
+++ b/crates/pooler/tests/support/pooler_process.rs
@@ -66,6 +66,13 @@
     (command.env("GW_CONFIG", &file).stderr(Stdio::piped()).spawn().unwrap(), file)
 }
 
+/// The memory that a process has allocated, in KiB; 0 if it has ended.
+pub fn allocated_kib(process: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+    line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
+
 impl PoolerProcess {
     /// Starts a pooler whose only endpoint is this server, as a replica.
     pub fn with_replica(server: &FakeServer) -> Self {
--- a/crates/proxy/src/assembly.rs
+++ b/crates/proxy/src/assembly.rs
@@ -6,7 +6,7 @@
 use crate::client::context::{ClientContext, RequestClass};
 use crate::client::in_doubt_writes::InDoubtWrites;
 use crate::client::open_request_ids::OpenRequestIds;
-use crate::client::read_ahead::ReadAheadBudget;
+use crate::client::read_ahead::ScratchBuffer;
 use crate::config::Config;
 use crate::discovery::address::DiscoveryAddress;
 use crate::discovery::backoff::Backoff;
@@ -16,6 +16,7 @@
 use crate::lifecycle::shutdown::Shutdown;
 use crate::lifecycle::signals::SignalHandler;
 use crate::lifecycle::stages::ShutdownStages;
+use crate::memory_budget::{MemoryBudget, MemoryLimits};
 use crate::metrics::{Counters, StatusReport};
 use crate::router_handle::RouterHandle;
 use crate::server::health_checks;
@@ -51,6 +52,7 @@
     pub(crate) stages: Rc<ShutdownStages>,
     pub(crate) status_report: Rc<StatusReport>,
     pub(crate) updates: EndpointUpdates,
+    pub(crate) memory: Rc<MemoryBudget>,
     pub(crate) listening: SocketAddr,
 }
 
@@ -67,8 +69,8 @@
         let listening = listener.get_ref().local_addr().unwrap_or(config.listen);
         components.signal_handler(config, config_file).start().map_err(StartError::Signals)?;
         components.spawn_tasks(components.client_context(config), health_checks, watcher, listener);
-        let Components { executor, stages, status_report, updates, .. } = components;
-        Ok(Self { executor, stages, status_report, updates, listening })
+        let Components { executor, stages, status_report, updates, memory, .. } = components;
+        Ok(Self { executor, stages, status_report, updates, memory, listening })
     }
 }
 
@@ -81,6 +83,7 @@
     router: Rc<RouterHandle>,
     pool: Rc<Pool>,
     slots: Rc<ConnectionSlots>,
+    memory: Rc<MemoryBudget>,
     in_doubt_writes: Rc<InDoubtWrites>,
     discovery: Rc<DiscoveryAddress>,
     updates: EndpointUpdates,
@@ -94,8 +97,11 @@
         let router = Router::new(config.seed, config.settings.clone());
         let router = Rc::new(RouterHandle::new(router, counters.clone(), health_checks));
         let directory = Rc::new(EndpointDirectory::default());
-        let budget = SocketBudget::new(config.max_descriptors);
-        let pool = Pool::new(router.clone(), directory.clone(), config.proxy.clone(), budget.servers);
+        let memory_limits = MemoryLimits::new(config.max_memory, config.max_descriptors);
+        let memory = Rc::new(MemoryBudget::new(memory_limits.counted, counters.clone()));
+        let budget = SocketBudget::new(memory_limits.descriptors);
+        let (proxy, max_servers) = (config.proxy.clone(), budget.servers);
+        let pool = Pool::new(router.clone(), directory.clone(), proxy, max_servers, memory.clone());
         let slot_limits = SlotLimits {
             clients: budget.clients,
             rejected: budget.rejected_clients,
@@ -114,6 +120,7 @@
             router,
             pool: Rc::new(pool),
             slots: Rc::new(slots),
+            memory,
             in_doubt_writes,
             discovery: Rc::new(DiscoveryAddress::new(config.discovery_address)),
         };
@@ -122,7 +129,13 @@
 
     fn watcher(&self, config: &Config) -> Watcher {
         let backoff = Backoff::new(config.seed, config.settings.router_count, config.proxy.shared_discovery);
-        Watcher::new(self.discovery.clone(), self.updates.clone(), self.counters.clone(), backoff)
+        Watcher::new(
+            self.discovery.clone(),
+            self.updates.clone(),
+            self.counters.clone(),
+            backoff,
+            self.memory.clone(),
+        )
     }
 
     fn signal_handler(&self, config: &Config, config_file: PathBuf) -> SignalHandler {
@@ -154,7 +167,8 @@
             open_request_ids: OpenRequestIds::default(),
             cancellation_keys: CancellationKeys::default(),
             no_slot_retry_after: no_slot_retry_after(&config.settings),
-            read_ahead: Rc::new(ReadAheadBudget::new(DISCARD_BUFFER_SIZE)),
+            scratch: Rc::new(ScratchBuffer::new(DISCARD_BUFFER_SIZE)),
+            memory: self.memory.clone(),
         }
     }
 
--- a/crates/proxy/src/buffer.rs
+++ b/crates/proxy/src/buffer.rs
@@ -1,6 +1,7 @@
 //! Read buffers that release large allocations while idle, and vectored writes. All I/O of the proxy on
 //! connections goes through this module.
 
+use crate::memory_budget::{MAX_UNCOUNTED_SIZE, MemoryUse, Reservation, ReservedBytes, out_of_memory};
 use async_io::Async;
 use futures_lite::future::poll_fn;
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWriteExt};
@@ -17,7 +18,9 @@
 /// The initial capacity of a buffer, in bytes.
 const INITIAL_CAPACITY: usize = 2 * 1024;
 /// The largest capacity that an idle buffer keeps, in bytes.
-const MAX_IDLE_CAPACITY: usize = 4 * 1024;
+const MAX_IDLE_CAPACITY: usize = MAX_UNCOUNTED_SIZE;
+/// The capacity up to which a buffer doubles. A larger one grows by this, and by at least a quarter.
+const MAX_DOUBLED_CAPACITY: usize = 32 * 1024;
 /// The number of reads whose arrival times are kept; bytes of later reads get the time of the last of these.
 const MAX_ARRIVALS: usize = 256;
 
@@ -33,9 +36,11 @@
 }
 
 /// A buffer of bytes that were read from a stream and not consumed yet, with their arrival times.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ReadBuffer {
-    bytes: Vec<u8>,
+    bytes: ReservedBytes,
+    /// What the memory for further bytes is used for.
+    memory_use: MemoryUse,
     /// The offset of the first unconsumed byte in `bytes`; `end` is the offset after the last one.
     start: usize,
     end: usize,
@@ -45,7 +50,33 @@
     arrivals: VecDeque<Arrival>,
 }
 
+impl Default for ReadBuffer {
+    /// An empty buffer whose memory is not counted.
+    fn default() -> Self {
+        Self::new(Reservation::default(), MemoryUse::Response)
+    }
+}
+
 impl ReadBuffer {
+    /// An empty buffer whose memory is counted in the budget of `reservation`.
+    #[must_use]
+    pub fn new(reservation: Reservation, memory_use: MemoryUse) -> Self {
+        Self {
+            bytes: ReservedBytes::new(reservation),
+            memory_use,
+            start: 0,
+            end: 0,
+            consumed: 0,
+            arrivals: VecDeque::new(),
+        }
+    }
+
+    /// The memory that the buffer holds as far as it is counted, in bytes.
+    #[must_use]
+    pub fn counted_size(&self) -> usize {
+        self.bytes.counted_size()
+    }
+
     /// The bytes that were read and not consumed yet.
     #[must_use]
     pub fn data(&self) -> &[u8] {
@@ -84,13 +115,11 @@
     ///
     /// # Errors
     ///
-    /// When reading from the stream fails.
+    /// When reading from the stream fails, or there is no memory for more bytes.
     pub async fn fill(&mut self, stream: &TcpConnection) -> io::Result<usize> {
-        if self.end == self.bytes.len() {
-            self.make_room();
-        }
+        self.make_room().await?;
         let mut stream = RetryInterrupted(stream);
-        let count = stream.read(&mut self.bytes[self.end..]).await?;
+        let count = stream.read(&mut self.bytes.as_mut_slice()[self.end..]).await?;
         if count == 0 {
             return Ok(0);
         }
@@ -99,27 +128,50 @@
         Ok(count)
     }
 
-    /// Moves the first `count` bytes out together with their allocation, so that they stay valid without a
-    /// copy while the buffer continues to read. Returns the allocation and the range of the bytes in it. Only
-    /// the bytes after the range are copied.
-    pub fn detach(&mut self, count: usize) -> (Vec<u8>, Range<usize>) {
-        let detached = self.start..(self.start + count).min(self.end);
-        let rest = self.bytes[detached.end..self.end].to_vec();
-        self.advance_stream(detached.len());
+    /// Makes room for the next read, for which memory may be reclaimed from stalled peers.
+    ///
+    /// # Errors
+    ///
+    /// When there is no memory for it.
+    pub async fn make_room(&mut self) -> io::Result<()> {
+        if let Some(capacity) = self.missing_capacity()
+            && !self.bytes.extend_to(self.memory_use, capacity).await
+        {
+            return Err(out_of_memory());
+        }
+        Ok(())
+    }
+
+    /// Makes room for the next read if there is memory for it that this use may take.
+    pub fn try_make_room(&mut self, memory_use: MemoryUse) -> bool {
+        self.missing_capacity().is_none_or(|capacity| self.bytes.try_extend_to(memory_use, capacity))
+    }
+
+    /// Moves the first `count` bytes out, so that they stay valid while the buffer continues to read. Returns
+    /// an allocation and the range of the bytes in it. Only the smaller one of the two parts is copied.
+    pub fn detach(&mut self, count: usize) -> (ReservedBytes, Range<usize>) {
+        let count = count.min(self.len());
+        if count < self.len() - count {
+            let copy = self.bytes.copy(&self.data()[..count]);
+            self.consume(count);
+            return (copy, 0..count);
+        }
+        let detached = self.start..self.start + count;
+        let rest = self.bytes.copy(&self.bytes[detached.end..self.end]);
+        self.advance_stream(count);
         self.start = 0;
         self.end = rest.len();
         let mut bytes = std::mem::replace(&mut self.bytes, rest);
         // Hundreds of large values may be kept for seconds at a time; an allocation of up to twice the size
         // of each would waste memory.
         if bytes.len() - detached.end > MAX_IDLE_CAPACITY {
-            bytes.truncate(detached.end);
-            bytes.shrink_to_fit();
+            bytes.shrink_to(detached.end);
         }
         (bytes, detached)
     }
 
     /// Reuses the allocation of detached bytes if it is small and the buffer has none.
-    pub fn reuse(&mut self, bytes: Vec<u8>) {
+    pub fn reuse(&mut self, bytes: ReservedBytes) {
         if self.bytes.is_empty() && bytes.len() <= MAX_IDLE_CAPACITY {
             self.bytes = bytes;
         }
@@ -128,10 +180,16 @@
     /// Releases the allocation if it is large and the buffer is empty.
     pub fn shrink_if_empty(&mut self) {
         if self.start == self.end && self.bytes.len() > MAX_IDLE_CAPACITY {
-            *self = Self::default();
+            self.clear();
         }
     }
 
+    /// Drops all bytes, and releases the allocation.
+    pub fn clear(&mut self) {
+        self.consume(self.len());
+        self.bytes.shrink_to(0);
+    }
+
     fn len(&self) -> usize {
         self.end - self.start
     }
@@ -141,14 +199,22 @@
         self.consumed + self.len()
     }
 
-    fn make_room(&mut self) {
+    /// The capacity that the buffer needs for the next read; `None` if it has room. Moves the bytes to the
+    /// front if that makes room.
+    fn missing_capacity(&mut self) -> Option<usize> {
+        let capacity = self.bytes.len();
+        if self.end < capacity {
+            return None;
+        }
         if self.start > 0 {
-            self.bytes.copy_within(self.start..self.end, 0);
+            let unconsumed = self.start..self.end;
+            self.bytes.as_mut_slice().copy_within(unconsumed, 0);
             self.end = self.len();
             self.start = 0;
-        } else {
-            self.bytes.resize((2 * self.bytes.len()).max(INITIAL_CAPACITY), 0);
+            return None;
         }
+        let additional = capacity.clamp(INITIAL_CAPACITY, MAX_DOUBLED_CAPACITY).max(capacity / 4);
+        Some(capacity + additional)
     }
 
     fn rewind_if_empty(&mut self) {
--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -5,6 +5,7 @@
 use crate::client::context::ClientContext;
 use crate::client::errors::{ClientError, ErrorReply};
 use crate::client::read_ahead::{NextSkipped, ReadAhead};
+use crate::memory_budget::{MemoryUse, Reservation, ReservedBytes, Stall};
 use crate::protocol::write::Severity;
 use async_io::Timer;
 use futures_lite::future::{or, yield_now};
@@ -73,12 +74,12 @@
         Self {
             context,
             stream,
-            buffer: ReadBuffer::default(),
+            buffer: ReadBuffer::new(Reservation::new(context.memory.clone()), MemoryUse::Command),
             slot,
             phase: SessionPhase::Startup,
             waiting_since: Instant::now(),
             write_closed: false,
-            read_ahead: ReadAhead::new(context.read_ahead.clone()),
+            read_ahead: ReadAhead::new(context.scratch.clone()),
         }
     }
 
@@ -115,9 +116,8 @@
     }
 
     /// Hands the allocation of an answered command back to the read buffer for reuse.
-    pub(super) fn reuse_command_buffer(&mut self, bytes: Vec<u8>) {
+    pub(super) fn reuse_command_buffer(&mut self, bytes: ReservedBytes) {
         self.buffer.reuse(bytes);
-        self.read_ahead.release_unused_permit(self.buffer.data().len());
     }
 
     /// Whether a part of an unanswered command has been read.
@@ -143,6 +143,11 @@
         if is_flooding && deadline.is_some_and(|deadline| deadline <= Instant::now()) {
             return Ok(ReadOutcome::Closed(ClosedBy::Pooler));
         }
+        if !self.read_ahead.is_skipping() && self.buffer.make_room().await.is_err() {
+            self.buffer.clear();
+            return Err(ClientError::OutOfMemory);
+        }
+        let held = self.buffer.counted_size();
         let shutdown_stage = if is_between_commands { &stages.closing_idle } else { &stages.terminating };
         let timeout = async {
             sleep_until(deadline).await;
@@ -155,11 +160,18 @@
         let read = read_once(&self.stream, &mut self.buffer, &mut self.read_ahead);
         let class = eviction_class(self.phase);
         let work = or(read, or(timeout, shutdown));
-        let outcome = self.slot.while_evictable(class, self.waiting_since, work).await;
+        let work = self.slot.while_evictable(class, self.waiting_since, work);
+        let outcome = self.context.memory.while_reclaimable(Stall::IncompleteCommand, held, work).await;
         if is_between_commands {
             self.restart_idle_time();
         }
-        outcome.unwrap_or(Ok(ReadOutcome::Closed(ClosedBy::Pooler)))
+        match outcome {
+            Some(outcome) => outcome.unwrap_or(Ok(ReadOutcome::Closed(ClosedBy::Pooler))),
+            None => {
+                self.buffer.clear();
+                Err(ClientError::OutOfMemory)
+            }
+        }
     }
 
     /// The time at which the next command has to be complete; `None` while an established client is between
@@ -184,6 +196,14 @@
             .is_some()
     }
 
+    /// Sends all pieces in order, within the time limit for writes. `held` is the counted memory of the pieces,
+    /// in bytes; the client is given up if that memory is needed for others.
+    pub(super) async fn send_held(&self, pieces: &[&[u8]], held: usize) -> Result<(), ClientError> {
+        let held = held + self.buffer.counted_size();
+        let sent = self.context.memory.while_reclaimable(Stall::UnreadResponse, held, self.send(pieces));
+        sent.await.unwrap_or(Err(ClientError::WriteTimedOut))
+    }
+
     /// Sends all pieces in order, within the time limit for writes.
     pub(super) async fn send(&self, pieces: &[&[u8]]) -> Result<(), ClientError> {
         let timeout = async {
@@ -213,6 +233,7 @@
     pub(super) async fn close_with_error(&mut self, error: ErrorReply) -> Result<(), ClientError> {
         let mut out = Vec::new();
         error.write(&mut out, Severity::Fatal);
+        self.buffer.clear();
         self.send(&[&out]).await?;
         self.close(LINGER_AFTER_ERROR).await
     }
@@ -227,9 +248,9 @@
         self.write_closed = true;
         self.slot.release();
         self.stream.get_ref().get_ref().shutdown(Shutdown::Write)?;
-        self.buffer = ReadBuffer::default();
+        self.buffer.clear();
         let closed_by_client = async {
-            while matches!(self.context.read_ahead.discard(&self.stream).await, Ok(1..)) {
+            while matches!(self.context.scratch.discard(&self.stream).await, Ok(1..)) {
                 // A client that sends at full speed must not delay other clients.
                 yield_now().await;
             }
--- a/crates/proxy/src/client/errors.rs
+++ b/crates/proxy/src/client/errors.rs
@@ -16,9 +16,12 @@
     /// The client violated the protocol.
     #[error("{0}")]
     Protocol(#[from] ProtocolError),
-    /// The client did not read a response within the time limit.
-    #[error("the client did not read a response within the time limit")]
+    /// The client did not read a response within the time limit, or while its memory was needed for others.
+    #[error("the client did not read a response in time")]
     WriteTimedOut,
+    /// There is no memory for the rest of a command, or the memory of its first part is needed for others.
+    #[error("no memory for the command")]
+    OutOfMemory,
 }
 
 /// An error that a client receives in an ErrorResponse.
@@ -33,6 +36,12 @@
     /// The pooler closes the connection while a command is incomplete.
     #[error("the connection ends before the command was read")]
     ConnectionClosing,
+    /// There is no memory for the rest of a command.
+    #[error("out of memory for the command, which has not run")]
+    OutOfMemory {
+        /// The time after which the client should retry; `None` if the client is given none.
+        retry_after: Option<TimeDelta>,
+    },
     /// The client sent more commands ahead than the pooler buffers.
     #[error("too many commands sent ahead")]
     TooManyCommandsAhead,
@@ -68,9 +77,10 @@
 impl ErrorReply {
     const fn sql_state(self) -> SqlState {
         match self {
-            Self::TooManyClients { .. } | Self::TooManyCommandsAhead | Self::RequestRejected { .. } => {
-                SqlState::TOO_MANY_CONNECTIONS
-            }
+            Self::TooManyClients { .. }
+            | Self::OutOfMemory { .. }
+            | Self::TooManyCommandsAhead
+            | Self::RequestRejected { .. } => SqlState::TOO_MANY_CONNECTIONS,
             Self::ConnectionClosing => SqlState::CANNOT_CONNECT_NOW,
             Self::UnknownClassOrIdInUse | Self::MalformedRequest(_) => SqlState::SYNTAX_ERROR,
             Self::NotARequest | Self::OnlySimpleQueries => SqlState::FEATURE_NOT_SUPPORTED,
@@ -83,9 +93,9 @@
     /// The detail field: the retry-after in milliseconds.
     fn detail(self) -> Option<String> {
         match self {
-            Self::TooManyClients { retry_after } | Self::RequestRejected { retry_after } => {
-                retry_after.map(format_millis)
-            }
+            Self::TooManyClients { retry_after }
+            | Self::OutOfMemory { retry_after }
+            | Self::RequestRejected { retry_after } => retry_after.map(format_millis),
             _ => None,
         }
     }
--- a/crates/proxy/src/client/read_ahead.rs
+++ b/crates/proxy/src/client/read_ahead.rs
@@ -1,66 +1,38 @@
 //! Read-ahead: commands that a client sends while its request is in flight.
 //!
-//! Commands are buffered up to a limit and skipped beyond it, so that a disconnect is detected however much
+//! Commands are buffered up to a limit, and as far as the memory budget allows, and skipped beyond it, so that a disconnect is detected however much
 //! the client has sent ahead. Skipped commands are rejected after all buffered commands have been answered.
 
 use crate::buffer::{ReadBuffer, TcpConnection, discard};
+use crate::memory_budget::MemoryUse;
 use crate::protocol::{ProtocolError, QuerySkipper, parse_frontend_message};
 use futures_lite::future::yield_now;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::io;
 use std::rc::Rc;
 
-/// The limit on the buffered bytes of a client without a large buffer.
-const BUFFER_LIMIT: usize = 16 * 1024;
-/// The limit on the buffered bytes of a client with a large buffer.
-const LARGE_BUFFER_LIMIT: usize = 256 * 1024;
-/// The number of clients that may have a large buffer at the same time.
-const MAX_LARGE_BUFFERS: usize = 16;
+/// The limit on the buffered bytes of a client.
+const BUFFER_LIMIT: usize = 256 * 1024;
 /// The limit on the skipped commands of a client that await an error response each; exceeding the limit is a
 /// protocol violation.
 const MAX_SKIPPED_COMMANDS: usize = 10_000;
 
-/// The memory budget that all clients share for commands sent ahead.
+/// The buffer that all clients share for bytes that are read only to be discarded.
 #[derive(Debug)]
-pub(crate) struct ReadAheadBudget {
-    large_buffers: Cell<usize>,
-    /// The buffer for bytes that are read only to be discarded.
-    scratch: RefCell<Vec<u8>>,
+pub(crate) struct ScratchBuffer {
+    bytes: RefCell<Vec<u8>>,
 }
 
-impl ReadAheadBudget {
-    /// Creates a budget with a scratch buffer of this size, in bytes.
-    pub(crate) fn new(scratch_size: usize) -> Self {
-        Self { large_buffers: Cell::new(0), scratch: RefCell::new(vec![0; scratch_size]) }
+impl ScratchBuffer {
+    /// Creates a buffer of this size, in bytes.
+    pub(crate) fn new(size: usize) -> Self {
+        Self { bytes: RefCell::new(vec![0; size]) }
     }
 
     /// Reads once from the stream and discards the bytes. Returns the number of bytes read; 0 at the end of
     /// the stream.
     pub(crate) async fn discard(&self, stream: &TcpConnection) -> io::Result<usize> {
-        discard(stream, &self.scratch).await
-    }
-}
-
-/// A client's permit for a large buffer; dropping it returns the permit to the budget.
-struct LargeBufferPermit {
-    budget: Rc<ReadAheadBudget>,
-}
-
-impl LargeBufferPermit {
-    /// Acquires a permit; `None` if all permits are in use.
-    fn try_acquire(budget: &Rc<ReadAheadBudget>) -> Option<Self> {
-        let in_use = budget.large_buffers.get();
-        if in_use >= MAX_LARGE_BUFFERS {
-            return None;
-        }
-        budget.large_buffers.set(in_use + 1);
-        Some(Self { budget: budget.clone() })
-    }
-}
-
-impl Drop for LargeBufferPermit {
-    fn drop(&mut self) {
-        self.budget.large_buffers.set(self.budget.large_buffers.get() - 1);
+        discard(stream, &self.bytes).await
     }
 }
 
@@ -119,15 +91,14 @@
 
 /// The read-ahead state of one client, apart from the commands in its buffer.
 pub(crate) struct ReadAhead {
-    budget: Rc<ReadAheadBudget>,
-    large_buffer: Option<LargeBufferPermit>,
+    scratch: Rc<ScratchBuffer>,
     skipped: Option<SkippedCommands>,
 }
 
 impl ReadAhead {
     /// Creates the state of a client that has sent nothing ahead.
-    pub(crate) fn new(budget: Rc<ReadAheadBudget>) -> Self {
-        Self { budget, large_buffer: None, skipped: None }
+    pub(crate) fn new(scratch: Rc<ScratchBuffer>) -> Self {
+        Self { scratch, skipped: None }
     }
 
     /// Whether commands are currently skipped rather than buffered.
@@ -138,7 +109,8 @@
     /// Reads until the client closes its connection or reading fails.
     pub(crate) async fn read_until_closed(&mut self, stream: &TcpConnection, buffer: &mut ReadBuffer) {
         while self.skipped.is_none() {
-            if self.is_full(buffer) {
+            let is_full = buffer.data().len() >= BUFFER_LIMIT;
+            if is_full || !buffer.try_make_room(MemoryUse::CommandAhead) {
                 self.skipped = Some(SkippedCommands::begin(buffer));
             } else if !matches!(buffer.fill(stream).await, Ok(1..)) {
                 return;
@@ -150,33 +122,15 @@
         }
     }
 
-    /// Whether no more bytes may be buffered for the client; acquires a permit for a large buffer when
-    /// necessary.
-    fn is_full(&mut self, buffer: &ReadBuffer) -> bool {
-        let buffered = buffer.data().len();
-        if self.large_buffer.is_none() && buffered >= BUFFER_LIMIT {
-            self.large_buffer = LargeBufferPermit::try_acquire(&self.budget);
-        }
-        let limit = if self.large_buffer.is_some() { LARGE_BUFFER_LIMIT } else { BUFFER_LIMIT };
-        buffered >= limit
-    }
-
     /// Reads once and skips the bytes; false at the end of the stream or when reading fails.
     pub(crate) async fn skip(&mut self, stream: &TcpConnection) -> bool {
-        let Ok(count @ 1..) = self.budget.discard(stream).await else { return false };
+        let Ok(count @ 1..) = self.scratch.discard(stream).await else { return false };
         if let Some(skipped) = &mut self.skipped {
-            skipped.advance(&self.budget.scratch.borrow()[..count]);
+            skipped.advance(&self.scratch.bytes.borrow()[..count]);
         }
         true
     }
 
-    /// Releases the permit for a large buffer, unless this number of buffered bytes requires it.
-    pub(crate) fn release_unused_permit(&mut self, buffered: usize) {
-        if buffered < BUFFER_LIMIT {
-            self.large_buffer = None;
-        }
-    }
-
     /// Takes the next skipped input; to be called once all commands in the buffer have been answered.
     /// Complete skipped commands are reported once.
     pub(crate) fn take_next(&mut self) -> NextSkipped {
--- a/crates/proxy/src/client/responses.rs
+++ b/crates/proxy/src/client/responses.rs
@@ -50,7 +50,7 @@
 ) -> Result<(), ClientError> {
     write::ready_for_query(out);
     let pieces: Vec<&[u8]> = response.messages().chain([out.as_slice()]).collect();
-    connection.send(&pieces).await
+    connection.send_held(&pieces, response.counted_size()).await
 }
 
 /// Sends an error response to each of `count` skipped commands.
--- a/crates/proxy/src/client/session.rs
+++ b/crates/proxy/src/client/session.rs
@@ -66,6 +66,11 @@
                 self.context.counters.rejected_statements.increment();
                 self.connection.close_with_error(ErrorReply::ProtocolViolation(error)).await
             }
+            Err(ClientError::OutOfMemory) => {
+                self.context.counters.rejected_statements.increment();
+                let retry_after = self.context.no_slot_retry_after;
+                self.connection.close_with_error(ErrorReply::OutOfMemory { retry_after }).await
+            }
             Err(error) => Err(error),
         }
     }
--- a/crates/proxy/src/config/document.rs
+++ b/crates/proxy/src/config/document.rs
@@ -8,6 +8,8 @@
 
 /// The number of file descriptors that the process may open if the file does not set `limits.sockets`.
 const DEFAULT_SOCKETS: usize = 1_024;
+/// The memory that the process may use, in MiB, if the file does not set `limits.memory_mb`.
+const DEFAULT_MEMORY_MIB: f64 = 192.0;
 
 /// The top level of the configuration file.
 #[derive(Deserialize)]
@@ -26,16 +28,17 @@
     pub(super) settings: Value,
 }
 
-/// The `limits` of the configuration file; limits other than `sockets` are ignored.
+/// The `limits` of the configuration file; other limits than these are ignored.
 #[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct LimitsDocument {
     pub(super) sockets: usize,
+    pub(super) memory_mb: f64,
 }
 
 impl Default for LimitsDocument {
     fn default() -> Self {
-        Self { sockets: DEFAULT_SOCKETS }
+        Self { sockets: DEFAULT_SOCKETS, memory_mb: DEFAULT_MEMORY_MIB }
     }
 }
 
--- a/crates/proxy/src/config/error.rs
+++ b/crates/proxy/src/config/error.rs
@@ -35,6 +35,14 @@
         /// The least number of file descriptors that a pooler requires.
         required: usize,
     },
+    /// The process may use less memory than a pooler requires.
+    #[error("configuration: limits.memory_mb is {configured}, but at least {required} are required")]
+    TooLittleMemory {
+        /// The configured memory in MiB.
+        configured: f64,
+        /// The least memory that a pooler requires, in MiB.
+        required: f64,
+    },
     /// The seed is not a hexadecimal number.
     #[error("configuration: seed '{0}' is not a hexadecimal number")]
     Seed(String),
@@ -50,7 +58,10 @@
             Self::Read { .. } => true,
             Self::Json(error) => error.is_eof() || error.is_syntax(),
             Self::InFile { error, .. } => error.is_transient(),
-            Self::Settings(_) | Self::TooFewDescriptors { .. } | Self::Seed(_) => false,
+            Self::Settings(_)
+            | Self::TooFewDescriptors { .. }
+            | Self::TooLittleMemory { .. }
+            | Self::Seed(_) => false,
         }
     }
 }
--- a/crates/proxy/src/config/mod.rs
+++ b/crates/proxy/src/config/mod.rs
@@ -17,6 +17,9 @@
 
 /// The least number of file descriptors with which a pooler can serve a few clients and servers.
 const MIN_DESCRIPTORS: usize = 24;
+/// The least memory with which a pooler can serve a few clients and servers, in MiB.
+const MIN_MEMORY_MIB: f64 = 8.0;
+const BYTES_PER_MIB: f64 = 1_048_576.0;
 
 /// The configuration of a pooler.
 #[derive(Clone, Debug)]
@@ -31,6 +34,8 @@
     pub seed: u64,
     /// The number of file descriptors that the process may open.
     pub max_descriptors: usize,
+    /// The memory that the process may use, in bytes.
+    pub max_memory: usize,
     /// The last known endpoint list, as a snapshot; the pooler serves from it until discovery reports.
     pub known_endpoints: EndpointList,
     /// The settings of the router.
@@ -84,12 +89,17 @@
                 required: MIN_DESCRIPTORS,
             });
         }
+        let memory_mib = document.limits.memory_mb;
+        if memory_mib < MIN_MEMORY_MIB {
+            return Err(ConfigError::TooLittleMemory { configured: memory_mib, required: MIN_MEMORY_MIB });
+        }
         Ok(Self {
             name: document.name,
             listen: document.listen,
             discovery_address: document.discovery,
             seed,
             max_descriptors,
+            max_memory: (memory_mib * BYTES_PER_MIB) as usize,
             known_endpoints: EndpointList { is_snapshot: true, ..document.known },
             settings,
             proxy,
--- a/crates/proxy/src/discovery/http.rs
+++ b/crates/proxy/src/discovery/http.rs
@@ -1,8 +1,10 @@
 //! Parses the parts of an HTTP/1.1 response that a watch needs: the head, and the chunks of the body. Does no
 //! I/O.
 
-/// The maximum size in bytes of a head or of a chunk's content.
-const MAX_PART_SIZE: usize = 4 * 1024 * 1024;
+/// The maximum size in bytes of a head.
+const MAX_HEAD_SIZE: usize = 64 * 1024;
+/// The maximum size in bytes of a chunk's content.
+const MAX_CHUNK_SIZE: usize = 4 * 1024 * 1024;
 /// The maximum length in bytes of the line that gives the size of a chunk, including its line end.
 const MAX_CHUNK_SIZE_LINE: usize = 64;
 /// The maximum number of characters of a status line that an error message quotes.
@@ -34,11 +36,11 @@
 ///
 /// # Errors
 ///
-/// Fails if the status is not 200, or the head is malformed or exceeds 4 MiB.
+/// Fails if the status is not 200, or the head is malformed or exceeds 64 KiB.
 pub fn parse_head(data: &[u8]) -> Result<Option<Head>, HttpError> {
     let malformed = HttpError::Malformed("HTTP response head");
     let Some(end) = find(data, HEAD_END) else {
-        return if data.len() > MAX_PART_SIZE { Err(malformed) } else { Ok(None) };
+        return if data.len() > MAX_HEAD_SIZE { Err(malformed) } else { Ok(None) };
     };
     let text = std::str::from_utf8(&data[..end]).map_err(|_| malformed)?;
     let mut lines = text.split("\r\n");
@@ -84,7 +86,7 @@
 fn chunk_length(line: &[u8]) -> Option<usize> {
     let digits = std::str::from_utf8(line).ok()?.split(';').next()?.trim();
     let length = usize::from_str_radix(digits, 16).ok()?;
-    (length <= MAX_PART_SIZE).then_some(length)
+    (length <= MAX_CHUNK_SIZE).then_some(length)
 }
 
 /// The position of the first occurrence of `pattern` in `data`.
--- a/crates/proxy/src/discovery/json_stream.rs
+++ b/crates/proxy/src/discovery/json_stream.rs
@@ -35,6 +35,12 @@
 }
 
 impl JsonStream {
+    /// The number of bytes that the stream holds.
+    #[must_use]
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Appends the next bytes of the stream.
     pub fn push(&mut self, bytes: &[u8]) {
         self.buffer.drain(..self.start);
--- a/crates/proxy/src/discovery/watch.rs
+++ b/crates/proxy/src/discovery/watch.rs
@@ -7,6 +7,7 @@
 use super::http::{self, HttpError};
 use super::json_stream::{JsonStream, JsonStreamError};
 use crate::buffer::{ReadBuffer, TcpConnection, write_all};
+use crate::memory_budget::{MemoryBudget, MemoryUse, Reservation, out_of_memory};
 use crate::metrics::Counters;
 use crate::resource_exhaustion::is_resource_exhaustion;
 use async_io::{Async, Timer};
@@ -21,6 +22,8 @@
 /// misses one is closed and reopened. A change takes effect 6 s after it would have been reported, whether or
 /// not it arrived; this limit leaves time for one more call that gets no response.
 const IO_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// The memory that decoding a list takes, as a multiple of the size of its text.
+const DECODED_LIST_FACTOR: usize = 3;
 
 /// The error that ended a watch.
 #[derive(Debug, thiserror::Error)]
@@ -44,9 +47,9 @@
         }
     }
 
-    /// Whether the error is logged: invalid responses are, lost connections are not.
+    /// Whether the error is logged: invalid responses and a lack of memory are, lost connections are not.
     fn is_logged(&self) -> bool {
-        !matches!(self, Self::Io(_))
+        !matches!(self, Self::Io(error) if error.kind() != io::ErrorKind::OutOfMemory)
     }
 }
 
@@ -61,19 +64,21 @@
     generation: Cell<u64>,
     /// The number of the last message, which is the version of the claims in it.
     last_message_number: Cell<i64>,
+    memory: Rc<MemoryBudget>,
 }
 
 impl Watcher {
-    /// A watcher that has applied no list yet.
+    /// A watcher that has applied no list yet. What it reads is counted in `memory`.
     #[must_use]
     pub fn new(
         address: Rc<DiscoveryAddress>,
         updates: EndpointUpdates,
         counters: Rc<Counters>,
         backoff: Backoff,
+        memory: Rc<MemoryBudget>,
     ) -> Self {
         let (generation, last_message_number) = (Cell::new(0), Cell::new(0));
-        Self { address, updates, counters, backoff, generation, last_message_number }
+        Self { address, updates, counters, backoff, generation, last_message_number, memory }
     }
 
     /// Applies an endpoint list to the directory and the router.
@@ -129,19 +134,31 @@
         or(changed, expired).await;
     }
 
+    /// Applies the complete lists in `stream`.
+    async fn apply_lists(&self, stream: &mut JsonStream) -> Result<(), WatchError> {
+        let mut decoding = Reservation::new(self.memory.clone());
+        while let Some(object) = stream.next_object()? {
+            reserve(&mut decoding, object.len() * DECODED_LIST_FACTOR).await?;
+            self.apply(&serde_json::from_slice(&object)?);
+            // One chunk may hold thousands of lists.
+            yield_now().await;
+        }
+        Ok(())
+    }
+
     /// Runs one watch until its connection is closed, fails or times out.
     async fn watch(&self, address: SocketAddr) -> Result<(), WatchError> {
-        let mut connection = WatchConnection::open(address, self.generation.get()).await?;
+        let reservation = Reservation::new(self.memory.clone());
+        let mut connection = WatchConnection::open(address, self.generation.get(), reservation).await?;
         let Some(head) = connection.read_head().await? else { return Ok(()) };
         let mut stream = JsonStream::default();
+        let mut buffered = Reservation::new(self.memory.clone());
         loop {
             match connection.move_body_part(head.chunked, &mut stream)? {
                 BodyPart::Appended => {
-                    while let Some(object) = stream.next_object()? {
-                        self.apply(&serde_json::from_slice(&object)?);
-                        // One chunk may hold thousands of lists.
-                        yield_now().await;
-                    }
+                    reserve(&mut buffered, stream.buffered()).await?;
+                    self.apply_lists(&mut stream).await?;
+                    buffered.record(stream.buffered());
                     // The buffer may hold thousands of chunks.
                     yield_now().await;
                 }
@@ -152,6 +169,12 @@
     }
 }
 
+/// Changes the reservation to the size of an allocation.
+async fn reserve(reservation: &mut Reservation, allocation: usize) -> io::Result<()> {
+    let is_reserved = reservation.resize(MemoryUse::EndpointList, allocation).await;
+    if is_reserved { Ok(()) } else { Err(out_of_memory()) }
+}
+
 /// The result of an attempt to read the next part of a response's body.
 enum BodyPart {
     /// A part was appended to the stream.
@@ -170,14 +193,14 @@
 
 impl WatchConnection {
     /// Connects to discovery and requests the changes since `generation`.
-    async fn open(address: SocketAddr, generation: u64) -> io::Result<Self> {
+    async fn open(address: SocketAddr, generation: u64, reservation: Reservation) -> io::Result<Self> {
         let stream = TcpConnection::new(with_io_timeout(Async::<TcpStream>::connect(address)).await?);
         let request = format!(
             "GET /discovery/hosts?follow=1&since={generation} HTTP/1.1\r\nHost: {address}\r\n\
              Accept: application/json\r\n\r\n"
         );
         with_io_timeout(write_all(&stream, &[request.as_bytes()])).await?;
-        Ok(Self { stream, buffer: ReadBuffer::default() })
+        Ok(Self { stream, buffer: ReadBuffer::new(reservation, MemoryUse::EndpointList) })
     }
 
     /// Reads the head of the response. Returns `None` if the connection is closed before the head is
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod discovery;
 pub mod latch;
 pub mod lifecycle;
+pub mod memory_budget;
 pub mod metrics;
 mod pooler;
 pub mod protocol;
--- /dev/null
+++ b/crates/proxy/src/memory_budget.rs
@@ -0,0 +1,418 @@
+//! The memory that peers can make the process hold: messages that are being read, commands sent ahead, requests
+//! in flight, responses and endpoint lists. One budget covers all of them, whatever the mix of connections.
+//!
+//! Small buffers are covered by an allowance per connection and are not counted. What a use may take depends on
+//! how much all uses together hold: the less a use matters, the earlier it is denied more, so that no amount of
+//! incomplete commands keeps a response from being read. Before a use is denied, memory is reclaimed from the
+//! peers that have made no progress for the longest time.
+
+use crate::latch::Latch;
+use crate::metrics::Counters;
+use async_io::Timer;
+use event_listener::Event;
+use futures_lite::future::or;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::ops::Deref;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// The largest allocation that is not counted, in bytes.
+pub const MAX_UNCOUNTED_SIZE: usize = 4 * 1024;
+/// The memory that each descriptor may need besides what is counted, in bytes: the task of a connection and its
+/// uncounted buffers.
+const ALLOWANCE_PER_DESCRIPTOR: usize = 16 * 1024;
+/// The share of the memory limit that the allowances of all descriptors may take.
+const MAX_ALLOWANCE_DIVISOR: usize = 2;
+/// The share of the rest that may be counted; the other part is for the allocator's fragmentation and for state
+/// that does not depend on peers.
+const BUDGET_DIVISOR: usize = 2;
+/// The longest wait for memory to be reclaimed.
+const MAX_WAIT: Duration = Duration::from_millis(250);
+/// The interval at which a waiting task looks for peers that have stalled meanwhile.
+const RETRY_INTERVAL: Duration = Duration::from_millis(5);
+const BYTES_PER_KIB: usize = 1024;
+
+/// What counted memory is used for, by increasing importance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemoryUse {
+    /// Commands that a client sends while its request is in flight.
+    CommandAhead,
+    /// A command that a client has sent in part.
+    Command,
+    /// A server's message.
+    Response,
+    /// A list of endpoints.
+    EndpointList,
+}
+
+impl MemoryUse {
+    /// The eighths of the budget that all uses together may hold after a reservation for this use.
+    const fn limit_eighths(self) -> usize {
+        match self {
+            Self::CommandAhead => 4,
+            Self::Command => 6,
+            Self::Response => 7,
+            Self::EndpointList => 8,
+        }
+    }
+}
+
+/// Why the memory of a peer can be reclaimed; the first variant is reclaimed first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stall {
+    /// The peer has sent a part of a command.
+    IncompleteCommand,
+    /// The peer does not read its response.
+    UnreadResponse,
+}
+
+impl Stall {
+    const ALL: [Self; 2] = [Self::IncompleteCommand, Self::UnreadResponse];
+
+    /// The time without progress after which a peer counts as stalled.
+    const fn min_age(self) -> Duration {
+        match self {
+            Self::IncompleteCommand => Duration::from_millis(20),
+            Self::UnreadResponse => Duration::from_millis(500),
+        }
+    }
+}
+
+/// The division of the process's memory limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MemoryLimits {
+    /// The number of file descriptors that the memory suffices for.
+    pub descriptors: usize,
+    /// The budget for counted memory, in bytes.
+    pub counted: usize,
+}
+
+impl MemoryLimits {
+    /// Divides a limit in bytes for a process that may open at most `descriptors` file descriptors.
+    #[must_use]
+    pub fn new(limit: usize, descriptors: usize) -> Self {
+        let descriptors = descriptors.min(limit / MAX_ALLOWANCE_DIVISOR / ALLOWANCE_PER_DESCRIPTOR);
+        let rest = limit - descriptors * ALLOWANCE_PER_DESCRIPTOR;
+        Self { descriptors, counted: rest / BUDGET_DIVISOR }
+    }
+}
+
+/// The sort key of the peers whose memory can be reclaimed: by the kind of stall, then by the time of the last
+/// progress, the oldest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct HolderKey {
+    stall: Stall,
+    since: Instant,
+    number: u64,
+}
+
+/// The memory that a stalled peer holds, and the request to release it.
+#[derive(Debug)]
+struct Holder {
+    size: usize,
+    released: Rc<Latch>,
+}
+
+/// The budget of counted memory.
+#[derive(Debug)]
+pub struct MemoryBudget {
+    limit: usize,
+    counters: Rc<Counters>,
+    used: Cell<usize>,
+    /// The part of `used` whose release has been requested.
+    releasing: Cell<usize>,
+    freed: Event,
+    holders: RefCell<BTreeMap<HolderKey, Holder>>,
+    last_holder: Cell<u64>,
+    created_at: Instant,
+}
+
+impl MemoryBudget {
+    /// Creates a budget of `limit` bytes, none of which is used.
+    #[must_use]
+    pub fn new(limit: usize, counters: Rc<Counters>) -> Self {
+        Self {
+            limit,
+            counters,
+            used: Cell::new(0),
+            releasing: Cell::new(0),
+            freed: Event::new(),
+            holders: RefCell::default(),
+            last_holder: Cell::new(0),
+            created_at: Instant::now(),
+        }
+    }
+
+    /// The number of bytes in use.
+    #[must_use]
+    pub fn used(&self) -> usize {
+        self.used.get()
+    }
+
+    fn limit_of(&self, memory_use: MemoryUse) -> usize {
+        self.limit / 8 * memory_use.limit_eighths()
+    }
+
+    fn has_room(&self, memory_use: MemoryUse, size: usize) -> bool {
+        self.used.get().saturating_add(size) <= self.limit_of(memory_use)
+    }
+
+    fn add(&self, size: usize) {
+        let used = self.used.get() + size;
+        self.used.set(used);
+        self.counters.peak_counted_memory_kib.raise_to((used / BYTES_PER_KIB) as u64);
+    }
+
+    fn subtract(&self, size: usize) {
+        self.used.set(self.used.get() - size);
+        self.freed.notify(usize::MAX);
+    }
+
+    /// Waits until `size` more bytes may be reserved for this use, and reclaims memory from stalled peers for
+    /// them. Returns false if there is none to reclaim in time.
+    async fn wait_for_room(&self, memory_use: MemoryUse, size: usize) -> bool {
+        let give_up_at = Instant::now() + MAX_WAIT;
+        while !self.has_room(memory_use, size) {
+            if Instant::now() >= give_up_at || size > self.limit_of(memory_use) {
+                self.counters.memory_denials.increment();
+                return false;
+            }
+            let freed = self.freed.listen();
+            self.request_release(memory_use, size);
+            or(freed, async {
+                Timer::after(RETRY_INTERVAL).await;
+            })
+            .await;
+        }
+        true
+    }
+
+    /// Requests stalled peers to release their memory until `size` more bytes will fit.
+    fn request_release(&self, memory_use: MemoryUse, size: usize) {
+        let needed = (self.used.get() + size).saturating_sub(self.limit_of(memory_use));
+        while self.releasing.get() < needed {
+            let Some(holder) = self.take_most_stalled() else { return };
+            self.counters.memory_reclaims.increment();
+            self.releasing.set(self.releasing.get() + holder.size);
+            holder.released.set();
+        }
+    }
+
+    /// Removes the peer that has stalled the longest, by kind of stall.
+    fn take_most_stalled(&self) -> Option<Holder> {
+        let mut holders = self.holders.borrow_mut();
+        let oldest = |stall: Stall| {
+            let first = HolderKey { stall, since: self.created_at, number: 0 };
+            let (key, _) = holders.range(first..).next()?;
+            (key.stall == stall && key.since.elapsed() >= stall.min_age()).then_some(*key)
+        };
+        let key = Stall::ALL.into_iter().find_map(oldest)?;
+        holders.remove(&key)
+    }
+
+    /// Runs `work`, which waits for a peer that holds `size` bytes of counted memory, and during which that
+    /// memory can be reclaimed. Returns `None` if it is reclaimed; the caller has to release it at once.
+    pub async fn while_reclaimable<T>(
+        &self,
+        stall: Stall,
+        size: usize,
+        work: impl Future<Output = T>,
+    ) -> Option<T> {
+        if size == 0 {
+            return Some(work.await);
+        }
+        let registration = HolderRegistration::new(self, stall, size);
+        let reclaimed = async {
+            registration.released.wait().await;
+            None
+        };
+        or(async { Some(work.await) }, reclaimed).await
+    }
+}
+
+/// Keeps the memory of a peer reclaimable until it is dropped.
+struct HolderRegistration<'a> {
+    budget: &'a MemoryBudget,
+    key: HolderKey,
+    size: usize,
+    released: Rc<Latch>,
+}
+
+impl<'a> HolderRegistration<'a> {
+    fn new(budget: &'a MemoryBudget, stall: Stall, size: usize) -> Self {
+        let number = budget.last_holder.get() + 1;
+        budget.last_holder.set(number);
+        let key = HolderKey { stall, since: Instant::now(), number };
+        let released = Rc::new(Latch::default());
+        budget.holders.borrow_mut().insert(key, Holder { size, released: released.clone() });
+        Self { budget, key, size, released }
+    }
+}
+
+impl Drop for HolderRegistration<'_> {
+    fn drop(&mut self) {
+        if self.budget.holders.borrow_mut().remove(&self.key).is_none() {
+            self.budget.releasing.set(self.budget.releasing.get() - self.size);
+        }
+    }
+}
+
+/// Bytes that are reserved in a budget; dropping the reservation releases them.
+#[derive(Debug, Default)]
+pub struct Reservation {
+    /// `None` if the bytes are not counted at all.
+    budget: Option<Rc<MemoryBudget>>,
+    size: usize,
+}
+
+impl Reservation {
+    /// A reservation of no bytes in this budget.
+    #[must_use]
+    pub fn new(budget: Rc<MemoryBudget>) -> Self {
+        Self { budget: Some(budget), size: 0 }
+    }
+
+    /// Another reservation in the same budget, of no bytes.
+    #[must_use]
+    pub fn sibling(&self) -> Self {
+        Self { budget: self.budget.clone(), size: 0 }
+    }
+
+    /// The number of reserved bytes.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        self.size
+    }
+
+    /// Changes the reservation to the counted size of an allocation. Returns false, without a change, if the
+    /// budget has no room for that.
+    pub fn try_resize(&mut self, memory_use: MemoryUse, allocation: usize) -> bool {
+        let size = counted_size(allocation);
+        let has_room = |budget: &Rc<MemoryBudget>| budget.has_room(memory_use, size - self.size);
+        if size > self.size && !self.budget.as_ref().is_none_or(has_room) {
+            return false;
+        }
+        self.set_size(size);
+        true
+    }
+
+    /// Like [`try_resize`](Self::try_resize), but waits for memory to be reclaimed from stalled peers.
+    pub async fn resize(&mut self, memory_use: MemoryUse, allocation: usize) -> bool {
+        while !self.try_resize(memory_use, allocation) {
+            let additional = counted_size(allocation) - self.size;
+            let Some(budget) = &self.budget else { return true };
+            if !budget.wait_for_room(memory_use, additional).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Changes the reservation to the size of an allocation that exists already, even beyond the budget.
+    pub fn record(&mut self, allocation: usize) {
+        self.set_size(counted_size(allocation));
+    }
+
+    fn set_size(&mut self, size: usize) {
+        if let Some(budget) = &self.budget {
+            if size > self.size {
+                budget.add(size - self.size);
+            } else if size < self.size {
+                budget.subtract(self.size - size);
+            }
+        }
+        self.size = size;
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.set_size(0);
+    }
+}
+
+/// The part of an allocation that is counted: all of it, unless it is small.
+const fn counted_size(allocation: usize) -> usize {
+    if allocation <= MAX_UNCOUNTED_SIZE { 0 } else { allocation }
+}
+
+/// The error of a read for which there is no memory.
+#[must_use]
+pub fn out_of_memory() -> io::Error {
+    io::ErrorKind::OutOfMemory.into()
+}
+
+/// Bytes whose allocation is reserved in a budget.
+#[derive(Debug, Default)]
+pub struct ReservedBytes {
+    // Declared before the reservation, so that the memory is free before it counts as free.
+    bytes: Vec<u8>,
+    reservation: Reservation,
+}
+
+impl ReservedBytes {
+    /// No bytes, for which memory will be reserved in the budget of `reservation`.
+    #[must_use]
+    pub fn new(reservation: Reservation) -> Self {
+        Self { bytes: Vec::new(), reservation }
+    }
+
+    /// A copy of `bytes`, counted in the same budget even if the budget has no room.
+    #[must_use]
+    pub fn copy(&self, bytes: &[u8]) -> Self {
+        let mut reservation = self.reservation.sibling();
+        reservation.record(bytes.len());
+        Self { bytes: bytes.to_vec(), reservation }
+    }
+
+    /// The number of counted bytes.
+    #[must_use]
+    pub fn counted_size(&self) -> usize {
+        self.reservation.size()
+    }
+
+    /// The bytes, which can be written to.
+    pub fn as_mut_slice(&mut self) -> &mut [u8] {
+        &mut self.bytes
+    }
+
+    /// Extends the bytes with zeros to `size` bytes. Returns false if the budget has no room for them.
+    pub fn try_extend_to(&mut self, memory_use: MemoryUse, size: usize) -> bool {
+        let is_reserved = self.reservation.try_resize(memory_use, size);
+        if is_reserved {
+            self.extend_exactly_to(size);
+        }
+        is_reserved
+    }
+
+    /// Like [`try_extend_to`](Self::try_extend_to), but waits for memory to be reclaimed from stalled peers.
+    pub async fn extend_to(&mut self, memory_use: MemoryUse, size: usize) -> bool {
+        let is_reserved = self.reservation.resize(memory_use, size).await;
+        if is_reserved {
+            self.extend_exactly_to(size);
+        }
+        is_reserved
+    }
+
+    fn extend_exactly_to(&mut self, size: usize) {
+        self.bytes.reserve_exact(size.saturating_sub(self.bytes.len()));
+        self.bytes.resize(size, 0);
+    }
+
+    /// Drops the bytes after the first `size`, and releases their memory.
+    pub fn shrink_to(&mut self, size: usize) {
+        self.bytes.truncate(size);
+        self.bytes.shrink_to_fit();
+        self.reservation.record(self.bytes.len());
+    }
+}
+
+impl Deref for ReservedBytes {
+    type Target = [u8];
+
+    fn deref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -66,6 +66,12 @@
     pub stalls: Counter,
     /// The longest stall, in milliseconds.
     pub longest_stall_ms: Counter,
+    /// Stalled peers whose memory was reclaimed for others.
+    pub memory_reclaims: Counter,
+    /// Reads that found no memory.
+    pub memory_denials: Counter,
+    /// The most memory that was counted at a time, in KiB.
+    pub peak_counted_memory_kib: Counter,
     outcomes: [Counter; OUTCOME_NAMES.len()],
 }
 
@@ -104,7 +110,7 @@
     }
 
     /// The counters with their names in the status report, in the order of output.
-    fn named(&self) -> [(&'static str, &Counter); 19] {
+    fn named(&self) -> [(&'static str, &Counter); 22] {
         [
             ("client_connections", &self.client_connections),
             ("rejected_connections", &self.rejected_connections),
@@ -125,6 +131,9 @@
             ("watches_opened", &self.watches_opened),
             ("stalls", &self.stalls),
             ("longest_stall_ms", &self.longest_stall_ms),
+            ("memory_reclaims", &self.memory_reclaims),
+            ("memory_denials", &self.memory_denials),
+            ("peak_counted_memory_kib", &self.peak_counted_memory_kib),
         ]
     }
 }
--- a/crates/proxy/src/pooler.rs
+++ b/crates/proxy/src/pooler.rs
@@ -4,6 +4,7 @@
 use crate::config::Config;
 use crate::discovery::endpoint_directory::EndpointUpdates;
 use crate::lifecycle::stages::ShutdownStages;
+use crate::memory_budget::Reservation;
 use std::fmt::Display;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -34,6 +35,12 @@
         self.assembly.updates.clone()
     }
 
+    /// An empty reservation in the pooler's memory budget, for what a further source of endpoints holds.
+    #[must_use]
+    pub fn memory_reservation(&self) -> Reservation {
+        Reservation::new(self.assembly.memory.clone())
+    }
+
     /// The address on which the pooler listens for clients.
     #[must_use]
     pub fn listening(&self) -> SocketAddr {
--- a/crates/proxy/src/server/connection.rs
+++ b/crates/proxy/src/server/connection.rs
@@ -3,12 +3,14 @@
 use super::attempt::AttemptError;
 use super::connection_limit::ConnectionPermit;
 use crate::buffer::{ReadBuffer, TcpConnection, write_all};
+use crate::memory_budget::{MemoryBudget, MemoryUse, Reservation, ReservedBytes};
 use crate::protocol::{backend_tag, is_ready_for_query, parse_backend_message, parse_error_response, write};
 use crate::resource_exhaustion::is_resource_exhaustion;
 use async_io::Async;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::ops::Range;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 const USER: &str = "backend";
@@ -37,13 +39,17 @@
     /// # Errors
     ///
     /// Fails if the server can't be reached, or closes or rejects the connection.
-    pub(super) async fn open(address: SocketAddr, permit: ConnectionPermit) -> Result<Self, AttemptError> {
+    pub(super) async fn open(
+        address: SocketAddr,
+        permit: ConnectionPermit,
+        memory: Rc<MemoryBudget>,
+    ) -> Result<Self, AttemptError> {
         let stream = Async::<TcpStream>::connect(address).await.map_err(|error| connect_error(&error))?;
         stream.get_ref().set_nodelay(true)?;
         let mut connection = Self {
             stream: TcpConnection::new(stream),
             address,
-            buffer: ReadBuffer::default(),
+            buffer: ReadBuffer::new(Reservation::new(memory), MemoryUse::Response),
             idle_since: Instant::now(),
             _permit: permit,
         };
@@ -176,7 +182,7 @@
 
     /// Moves the first `count` unread bytes out; returns the allocation that holds them and their range in
     /// it.
-    pub(super) fn detach(&mut self, count: usize) -> (Vec<u8>, Range<usize>) {
+    pub(super) fn detach(&mut self, count: usize) -> (ReservedBytes, Range<usize>) {
         self.buffer.detach(count)
     }
 }
--- a/crates/proxy/src/server/pool.rs
+++ b/crates/proxy/src/server/pool.rs
@@ -6,6 +6,7 @@
 use super::connection_limit::{ConnectionLimit, ConnectionPermit};
 use crate::config::ProxySettings;
 use crate::discovery::endpoint_directory::EndpointDirectory;
+use crate::memory_budget::MemoryBudget;
 use crate::metrics::Counters;
 use crate::router_handle::RouterHandle;
 use async_io::Timer;
@@ -40,22 +41,25 @@
     counters: Rc<Counters>,
     settings: ProxySettings,
     limit: Rc<ConnectionLimit>,
+    memory: Rc<MemoryBudget>,
     /// The idle connections of each endpoint, with the most recently used one last.
     idle: RefCell<HashMap<EndpointId, VecDeque<Connection>>>,
 }
 
 impl Pool {
-    /// A pool that opens at most `max_connections` connections in total.
+    /// A pool that opens at most `max_connections` connections in total. The responses that are read from them
+    /// are counted in `memory`.
     #[must_use]
     pub fn new(
         router: Rc<RouterHandle>,
         directory: Rc<EndpointDirectory>,
         settings: ProxySettings,
         max_connections: usize,
+        memory: Rc<MemoryBudget>,
     ) -> Self {
         let counters = router.counters().clone();
         let limit = Rc::new(ConnectionLimit::new(max_connections));
-        Self { router, directory, counters, settings, limit, idle: RefCell::default() }
+        Self { router, directory, counters, settings, limit, memory, idle: RefCell::default() }
     }
 
     /// Periodically closes idle connections that can't be reused; never returns.
@@ -193,7 +197,7 @@
     ) -> Result<Connection, AttemptError> {
         let address = self.directory.address(endpoint).ok_or(AttemptError::ConnectionRefused)?;
         self.counters.server_connections_opened.increment();
-        Connection::open(address, permit).await
+        Connection::open(address, permit, self.memory.clone()).await
     }
 }
 
--- a/crates/proxy/src/server/statement.rs
+++ b/crates/proxy/src/server/statement.rs
@@ -1,5 +1,6 @@
 //! The data that the client side and the server side exchange: a client's statement, and a server's response.
 
+use crate::memory_budget::ReservedBytes;
 use std::ops::Range;
 
 /// A client's statement in the buffer that it was read into. For an attempt, only the timeout in it is
@@ -7,7 +8,7 @@
 #[derive(Debug)]
 pub struct ClientStatement {
     /// The bytes that hold the statement; the ranges refer to them.
-    pub buffer: Vec<u8>,
+    pub buffer: ReservedBytes,
     /// The range of the statement, including its terminating zero byte.
     pub text: Range<usize>,
     /// The range of the digits of the statement's timeout.
@@ -29,16 +30,21 @@
 /// A server's response in the buffer that it was read into.
 #[derive(Debug)]
 pub struct QueryResponse {
-    buffer: Vec<u8>,
+    buffer: ReservedBytes,
     messages: Vec<Range<usize>>,
 }
 
 impl QueryResponse {
     /// The response that consists of the messages in these ranges of `buffer`.
-    pub(super) fn new(buffer: Vec<u8>, messages: Vec<Range<usize>>) -> Self {
+    pub(super) fn new(buffer: ReservedBytes, messages: Vec<Range<usize>>) -> Self {
         Self { buffer, messages }
     }
 
+    /// The memory that the response holds as far as it is counted, in bytes.
+    pub fn counted_size(&self) -> usize {
+        self.buffer.counted_size()
+    }
+
     /// The messages of the response, from RowDescription to CommandComplete.
     pub fn messages(&self) -> impl Iterator<Item = &[u8]> {
         self.messages.iter().map(|message| &self.buffer[message.clone()])
--- a/crates/proxy/tests/config.rs
+++ b/crates/proxy/tests/config.rs
@@ -79,6 +79,21 @@
     ));
 }
 
+#[test]
+fn the_memory_limit_is_read_and_must_suffice_for_a_pooler() {
+    // Guards against a memory limit that the platform sets and the pooler does not know.
+    let max_memory = |mebibytes: Value| {
+        let mut document = document();
+        document["limits"]["memory_mb"] = mebibytes;
+        decode(&document).map(|config| config.max_memory)
+    };
+    assert_eq!(max_memory(json!(48)).unwrap(), 48 * 1024 * 1024);
+    assert_eq!(max_memory(json!(8.5)).unwrap(), 17 * 512 * 1024);
+    for too_little in [json!(7), json!(0), json!(-48)] {
+        assert!(matches!(max_memory(too_little), Err(ConfigError::TooLittleMemory { .. })));
+    }
+}
+
 #[test]
 fn only_unreadable_and_truncated_files_are_transient_errors() {
     let complete = document().to_string();
--- a/crates/service-registry/src/eureka/body/error.rs
+++ b/crates/service-registry/src/eureka/body/error.rs
@@ -31,6 +31,9 @@
         /// The limit on the number of instances.
         max_instances: usize,
     },
+    /// There is no memory for the instances of the body.
+    #[error("no memory for the instances of the document")]
+    OutOfMemory,
     /// An instance in the body is malformed.
     #[error(transparent)]
     Instance(#[from] InstanceError),
--- a/crates/service-registry/src/eureka/body/mod.rs
+++ b/crates/service-registry/src/eureka/body/mod.rs
@@ -17,7 +17,7 @@
 /// bytes are kept: the hash code, the only such value that is read, is shorter.
 const MAX_TOKEN_BYTES: usize = 256;
 /// The maximum size of one instance in a body.
-const MAX_INSTANCE_BYTES: usize = 256 * 1024;
+pub(super) const MAX_INSTANCE_BYTES: usize = 256 * 1024;
 /// The JSON key, or the XML element name, of instances.
 const INSTANCE: &[u8] = b"instance";
 /// The JSON key, or the XML element name, of the registry's hash code.
--- a/crates/service-registry/src/eureka/decoder.rs
+++ b/crates/service-registry/src/eureka/decoder.rs
@@ -1,7 +1,7 @@
 //! Decodes one response body into a watch event. A body takes effect only after it has been read to its end.
 //! Performs no I/O.
 
-use super::body::{BodyError, BodyFormat, BodyItem, BodyScanner};
+use super::body::{BodyError, BodyFormat, BodyItem, BodyScanner, MAX_INSTANCE_BYTES};
 use super::digest::{DigestEntry, RegistryDigest};
 use super::instance::{Instance, InstanceError, InvalidField};
 use super::mapping::{InstanceMapping, MappingError, ready_change_stamp, rejected_claim};
@@ -90,6 +90,7 @@
             format,
             changes: DigestChanges::new(poll.fetch, digest),
             claims: Vec::new(),
+            claims_size: 0,
             newest_change_stamp: MIN_SNAPSHOT_VERSION,
             summary: BodySummary::default(),
         };
@@ -106,6 +107,13 @@
         scanner.push(bytes, &mut |item| collector.add_item(&item))
     }
 
+    /// The memory that the decoder may take up, in bytes: its claims, and one instance that is being read.
+    #[must_use]
+    pub fn memory_size(&self) -> usize {
+        let digest_entries = self.collector.summary.instances * size_of::<DigestEntry>();
+        MAX_INSTANCE_BYTES + self.collector.claims_size + digest_entries
+    }
+
     /// Ends the body and applies its changes to `digest`, which stays unchanged on an error.
     ///
     /// # Errors
@@ -168,6 +176,8 @@
     format: BodyFormat,
     changes: DigestChanges,
     claims: Vec<EndpointClaim>,
+    /// The memory that the claims take up, in bytes.
+    claims_size: usize,
     /// The greatest change stamp of the instances read so far, which becomes the version of a snapshot.
     newest_change_stamp: i64,
     summary: BodySummary,
@@ -209,7 +219,7 @@
         // Instances of other applications count too: they also show how recent the registry's data is.
         self.newest_change_stamp = self.newest_change_stamp.max(ready_change_stamp(instance));
         match self.mapping.claim(instance, self.server) {
-            Ok(claim) => self.claims.push(claim),
+            Ok(claim) => self.add_claim(claim),
             Err(MappingError::OtherApplication) => {}
             Err(error) => self.reject(instance, error),
         }
@@ -220,7 +230,12 @@
         self.summary.rejected += 1;
         self.summary.outside_networks += usize::from(matches!(error, MappingError::OutsideNetworks(_)));
         self.record_problem(InstanceProblem::Rejected { id: instance.id.clone(), error });
-        self.claims.push(rejected_claim(instance));
+        self.add_claim(rejected_claim(instance));
+    }
+
+    fn add_claim(&mut self, claim: EndpointClaim) {
+        self.claims_size += size_of::<EndpointClaim>() + claim.endpoint.0.len() + claim.zone.len();
+        self.claims.push(claim);
     }
 
     fn record_problem(&mut self, problem: InstanceProblem) {
--- a/crates/service-registry/src/watcher.rs
+++ b/crates/service-registry/src/watcher.rs
@@ -89,13 +89,15 @@
     /// When the server returns no usable response. A retry is then scheduled.
     pub async fn poll(&mut self) -> Result<MergeResult, CallError> {
         let poll = self.schedule.next_poll(self.sink.now());
-        match self.fetch(poll).await {
+        let result = match self.fetch(poll).await {
             Ok(body) => Ok(self.apply(poll, body)),
             Err(error) => {
                 self.record_failure(poll, &error);
                 Err(error)
             }
-        }
+        };
+        self.sink.reserve_memory(0);
+        result
     }
 
     async fn fetch(&mut self, poll: Poll) -> Result<DecodedBody, CallError> {
@@ -104,7 +106,9 @@
             FetchKind::Delta => DELTA_PATH,
         };
         let server = &self.config.servers[poll.server];
-        let mut handler = PollBodyHandler { config: &self.config, digest: &self.digest, poll, decoder: None };
+        let sink = &self.sink;
+        let mut handler =
+            PollBodyHandler { config: &self.config, digest: &self.digest, poll, sink, decoder: None };
         self.client.call(server, &ApiRequest::get(path), &mut handler).await?;
         let decoder = handler.decoder;
         let decoder = decoder.ok_or(CallError::UnsupportedContentType { content_type: String::new() })?;
@@ -199,15 +203,16 @@
 }
 
 /// Decodes the response to a poll while its body arrives.
-struct PollBodyHandler<'c, 'd> {
+struct PollBodyHandler<'c, 'd, S> {
     config: &'c RegistryConfig,
     digest: &'d RegistryDigest,
     poll: Poll,
+    sink: &'d S,
     /// `None` until the content type of the body is known.
     decoder: Option<BodyDecoder<'c>>,
 }
 
-impl BodyHandler for PollBodyHandler<'_, '_> {
+impl<S: EventSink> BodyHandler for PollBodyHandler<'_, '_, S> {
     fn on_content_type(&mut self, content_type: &str) -> Result<(), UnsupportedContentType> {
         let format = BodyFormat::from_content_type(content_type).ok_or(UnsupportedContentType)?;
         let decoder = BodyDecoder::new(
@@ -222,6 +227,9 @@
     }
 
     fn on_data(&mut self, data: &[u8]) -> Result<(), BodyError> {
-        self.decoder.as_mut().map_or(Ok(()), |decoder| decoder.push(data))
+        let Some(decoder) = &mut self.decoder else { return Ok(()) };
+        decoder.push(data)?;
+        let has_memory = self.sink.reserve_memory(decoder.memory_size());
+        if has_memory { Ok(()) } else { Err(BodyError::OutOfMemory) }
     }
 }
--- a/crates/service-registry/tests/bodies.rs
+++ b/crates/service-registry/tests/bodies.rs
@@ -198,6 +198,23 @@
     }
 }
 
+#[test]
+fn the_memory_of_a_body_grows_with_what_is_kept_of_it() {
+    // Guards against a registry whose instances fill the memory unaccounted for.
+    let (mapping, digest) = (mapping(), RegistryDigest::default());
+    let poll = Poll { server: 0, fetch: FetchKind::Snapshot };
+    let mut decoder = BodyDecoder::new(&mapping, &digest, poll, BodyFormat::Json, MAX_BYTES);
+    let empty = decoder.memory_size();
+    decoder.push(br#"{"applications":{"application":{"instance":["#).unwrap();
+    let id = "s".repeat(10_000);
+    for number in 0..20 {
+        let instance = ACTIVE.replace("s-1", &format!("{id}-{number}"));
+        decoder.push(format!("{instance},").as_bytes()).unwrap();
+    }
+    let kept = decoder.memory_size() - empty;
+    assert!((200_000..1_000_000).contains(&kept), "{kept} bytes for 20 ids of 10,000 bytes");
+}
+
 #[test]
 fn a_delta_is_applied_to_the_digest_only_once_it_is_complete() {
     let (mapping, mut digest) = (mapping(), RegistryDigest::default());
