Read what is only discarded at a rate that all clients share

Cause: up to 215 clients that had had their error were read from in each round of the executor, 64 KiB each, as fast as they sent. A new connection takes several rounds, and so does each bad one ahead of it in the backlog.

Fix: these reads, and those of commands beyond the read-ahead limit, share one rate, however many clients there are. The accept loop is as it was.

--- a/crates/pooler/tests/sockets/main.rs
+++ b/crates/pooler/tests/sockets/main.rs
@@ -14,6 +14,7 @@
 mod freshness;
 mod malformed_input;
 mod memory;
+mod new_connections;
 mod proxying;
 mod reload;
 mod server_connections;
--- a/crates/proxy/src/assembly.rs
+++ b/crates/proxy/src/assembly.rs
@@ -4,9 +4,9 @@
 use crate::client::cancellation::CancellationKeys;
 use crate::client::connection_slots::{ConnectionSlots, SlotLimits};
 use crate::client::context::{ClientContext, RequestClass};
+use crate::client::discarding::Discarder;
 use crate::client::in_doubt_writes::InDoubtWrites;
 use crate::client::open_request_ids::OpenRequestIds;
-use crate::client::read_ahead::ScratchBuffer;
 use crate::config::Config;
 use crate::discovery::address::DiscoveryAddress;
 use crate::discovery::backoff::Backoff;
@@ -30,8 +30,6 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 
-/// The size of the buffer for bytes that are read only to be discarded, in bytes.
-const DISCARD_BUFFER_SIZE: usize = 64 * 1024;
 /// The retry-after for clients rejected for lack of a free slot: by then other clients have been served.
 const NO_SLOT_RETRY_AFTER: TimeDelta = TimeDelta::from_millis(250);
 
@@ -167,7 +165,7 @@
             open_request_ids: OpenRequestIds::default(),
             cancellation_keys: CancellationKeys::default(),
             no_slot_retry_after: no_slot_retry_after(&config.settings),
-            scratch: Rc::new(ScratchBuffer::new(DISCARD_BUFFER_SIZE)),
+            discarder: Rc::new(Discarder::new()),
             memory: self.memory.clone(),
         }
     }
--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -8,7 +8,7 @@
 use crate::memory_budget::{MemoryUse, Reservation, ReservedBytes, Stall};
 use crate::protocol::write::Severity;
 use async_io::Timer;
-use futures_lite::future::{or, yield_now};
+use futures_lite::future::or;
 use std::net::Shutdown;
 use std::time::{Duration, Instant};
 
@@ -79,7 +79,7 @@
             phase: SessionPhase::Startup,
             waiting_since: Instant::now(),
             write_closed: false,
-            read_ahead: ReadAhead::new(context.scratch.clone()),
+            read_ahead: ReadAhead::new(context.discarder.clone()),
         }
     }
 
@@ -249,12 +249,7 @@
         self.slot.release();
         self.stream.get_ref().get_ref().shutdown(Shutdown::Write)?;
         self.buffer.clear();
-        let closed_by_client = async {
-            while matches!(self.context.scratch.discard(&self.stream).await, Ok(1..)) {
-                // A client that sends at full speed must not delay other clients.
-                yield_now().await;
-            }
-        };
+        let closed_by_client = self.context.discarder.read_until_closed(&self.stream, |_| {});
         let timeout = async {
             Timer::after(linger).await;
         };
--- a/crates/proxy/src/client/context.rs
+++ b/crates/proxy/src/client/context.rs
@@ -2,9 +2,9 @@
 
 use crate::client::cancellation::CancellationKeys;
 use crate::client::connection_slots::ConnectionSlots;
+use crate::client::discarding::Discarder;
 use crate::client::in_doubt_writes::InDoubtWrites;
 use crate::client::open_request_ids::OpenRequestIds;
-use crate::client::read_ahead::ScratchBuffer;
 use crate::lifecycle::stages::ShutdownStages;
 use crate::memory_budget::MemoryBudget;
 use crate::metrics::Counters;
@@ -50,8 +50,8 @@
     pub(crate) cancellation_keys: CancellationKeys,
     /// The retry-after for clients rejected for lack of a free slot; `None` if clients are given none.
     pub(crate) no_slot_retry_after: Option<TimeDelta>,
-    /// The buffer that all clients share for bytes that are discarded.
-    pub(crate) scratch: Rc<ScratchBuffer>,
+    /// Reads what is only to be discarded.
+    pub(crate) discarder: Rc<Discarder>,
     /// The budget for the memory that peers make the process hold.
     pub(crate) memory: Rc<MemoryBudget>,
 }
--- a/crates/proxy/src/client/mod.rs
+++ b/crates/proxy/src/client/mod.rs
@@ -6,6 +6,7 @@
 mod connection;
 pub mod connection_slots;
 pub(crate) mod context;
+pub(crate) mod discarding;
 mod errors;
 pub mod in_doubt_writes;
 pub(crate) mod open_request_ids;
--- a/crates/proxy/src/client/read_ahead.rs
+++ b/crates/proxy/src/client/read_ahead.rs
@@ -3,12 +3,10 @@
 //! Commands are buffered up to a limit, and as far as the memory budget allows, and skipped beyond it, so that a disconnect is detected however much
 //! the client has sent ahead. Skipped commands are rejected after all buffered commands have been answered.
 
-use crate::buffer::{ReadBuffer, TcpConnection, discard};
+use crate::buffer::{ReadBuffer, TcpConnection};
+use crate::client::discarding::Discarder;
 use crate::memory_budget::MemoryUse;
 use crate::protocol::{ProtocolError, QuerySkipper, parse_frontend_message};
-use futures_lite::future::yield_now;
-use std::cell::RefCell;
-use std::io;
 use std::rc::Rc;
 
 /// The limit on the buffered bytes of a client.
@@ -17,25 +15,6 @@
 /// protocol violation.
 const MAX_SKIPPED_COMMANDS: usize = 10_000;
 
-/// The buffer that all clients share for bytes that are read only to be discarded.
-#[derive(Debug)]
-pub(crate) struct ScratchBuffer {
-    bytes: RefCell<Vec<u8>>,
-}
-
-impl ScratchBuffer {
-    /// Creates a buffer of this size, in bytes.
-    pub(crate) fn new(size: usize) -> Self {
-        Self { bytes: RefCell::new(vec![0; size]) }
-    }
-
-    /// Reads once from the stream and discards the bytes. Returns the number of bytes read; 0 at the end of
-    /// the stream.
-    pub(crate) async fn discard(&self, stream: &TcpConnection) -> io::Result<usize> {
-        discard(stream, &self.bytes).await
-    }
-}
-
 /// The commands of one client that arrived after its buffer was full.
 #[derive(Default)]
 struct SkippedCommands {
@@ -74,6 +53,13 @@
     }
 }
 
+/// Skips these bytes if commands are being skipped.
+fn advance_skipped(skipped: &mut Option<SkippedCommands>, bytes: &[u8]) {
+    if let Some(skipped) = skipped {
+        skipped.advance(bytes);
+    }
+}
+
 /// The skipped input that follows the commands in the buffer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum NextSkipped {
@@ -91,14 +77,14 @@
 
 /// The read-ahead state of one client, apart from the commands in its buffer.
 pub(crate) struct ReadAhead {
-    scratch: Rc<ScratchBuffer>,
+    discarder: Rc<Discarder>,
     skipped: Option<SkippedCommands>,
 }
 
 impl ReadAhead {
     /// Creates the state of a client that has sent nothing ahead.
-    pub(crate) fn new(scratch: Rc<ScratchBuffer>) -> Self {
-        Self { scratch, skipped: None }
+    pub(crate) fn new(discarder: Rc<Discarder>) -> Self {
+        Self { discarder, skipped: None }
     }
 
     /// Whether commands are currently skipped rather than buffered.
@@ -116,19 +102,15 @@
                 return;
             }
         }
-        while self.skip(stream).await {
-            // A client that sends at full speed must not delay other clients.
-            yield_now().await;
-        }
+        let Self { discarder, skipped } = self;
+        let advance = |bytes: &[u8]| advance_skipped(skipped, bytes);
+        discarder.read_until_closed(stream, advance).await;
     }
 
     /// Reads once and skips the bytes; false at the end of the stream or when reading fails.
     pub(crate) async fn skip(&mut self, stream: &TcpConnection) -> bool {
-        let Ok(count @ 1..) = self.scratch.discard(stream).await else { return false };
-        if let Some(skipped) = &mut self.skipped {
-            skipped.advance(&self.scratch.bytes.borrow()[..count]);
-        }
-        true
+        let Self { discarder, skipped } = self;
+        discarder.read(stream, |bytes| advance_skipped(skipped, bytes)).await
     }
 
     /// Takes the next skipped input; to be called once all commands in the buffer have been answered.
