Bound the comment of a request, and admit new connections in their own tasks

Causes: a comment of up to 128 KiB was split into its fields before it was rejected, over a millisecond each time. The accept loop took one connection in a turn, admitted it there, and evicted one after the other at the limit.

Fix: a comment may have 4 KiB, and no more is searched; strings are searched for their end by CStr. Up to 16 connections are accepted in a turn, each is admitted by its own task, and up to 8 are evicted at once.

The new tests failed before.

--- /dev/null
+++ b/crates/pooler/tests/overload/main.rs
@@ -0,0 +1,16 @@
+//! Tests of the pooler as a process beside hundreds of peers that overload it. They need most of the machine's
+//! time, so that they run apart from the other tests, one after another.
+
+#[path = "../support/mod.rs"]
+mod support;
+
+mod memory;
+mod new_connections;
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Waits until no other test of this program runs, and keeps the others waiting until the guard is dropped.
+fn run_alone() -> MutexGuard<'static, ()> {
+    static RUNNING: Mutex<()> = Mutex::new(());
+    RUNNING.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/pooler/tests/sockets/memory.rs
+++ b/crates/pooler/tests/overload/memory.rs
@@ -1,6 +1,7 @@
 //! The memory limit: whatever mix of peers connects, and however they stop, the process stays below it, bad
 //! clients are turned away in time, and the others are served.
 
+use crate::run_alone;
 use crate::support::*;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
@@ -15,6 +16,9 @@
 const BAD_CLIENTS: usize = 190;
 /// The bytes that are missing of a command left incomplete.
 const MISSING: usize = 20;
+/// The time that a bad client gives each of its whole requests. With the time limit of a command it is below the
+/// limit for bad clients.
+const WHOLE_DEADLINE_MS: u32 = 500;
 /// A bad client is owed an error or a close within this time.
 const BAD_CLIENT_LIMIT: Duration = Duration::from_secs(3);
 /// The time that other clients give their requests, and the lateness that the operators' pages allow.
@@ -119,8 +123,8 @@
         name: "half a command behind many requests",
         is_established: true,
         bytes: |client| {
-            let whole =
-                query_bytes((0..10).map(|number| read_statement(&format!("whole-{client}-{number}"))));
+            let request = |number| read_statement(&format!("whole-{client}-{number}"));
+            let whole = query_bytes((0..10).map(|number| with_deadline(&request(number), WHOLE_DEADLINE_MS)));
             [whole, largest_write(&format!("half-{client}"))].concat()
         },
         pieces: None,
@@ -157,7 +161,7 @@
             let mut client = Client { stream: MessageStream::new(socket) };
             client.stream.write_bytes(&startup_bytes(b""));
             client.read_response();
-            client.query(&read_statement(&format!("first-{number}")));
+            client.query(&with_deadline(&read_statement(&format!("first-{number}")), WHOLE_DEADLINE_MS));
             socket = client.stream.socket;
         }
         let (size, pause) = self.pieces.unwrap_or((bytes.len(), Duration::ZERO));
@@ -203,6 +207,7 @@
 fn incomplete_commands_of_many_clients_stay_below_the_memory_limit() {
     // Guards against hundreds of clients that stop in the middle of a command, each of which keeps a buffer of
     // up to twice the largest command, and the process being killed for its memory.
+    let _alone = run_alone();
     let server = FakeServer::answering("s-1", "replica");
     for behavior in &BAD_BEHAVIORS {
         let discovery = FakeDiscovery::new();
@@ -213,7 +218,12 @@
             let play = |client| scope.spawn(move || behavior.play(client, address, together));
             let clients: Vec<_> = (0..BAD_CLIENTS).map(play).collect();
             together.wait();
-            assert_served_until(&pooler, behavior.name, false, Instant::now() + BAD_CLIENT_LIMIT);
+            assert_served_until(
+                &pooler,
+                behavior.name,
+                behavior.is_established,
+                Instant::now() + BAD_CLIENT_LIMIT,
+            );
             clients.into_iter().map(|client| client.join().unwrap()).max()
         });
         monitor.assert_below_limit(behavior.name);
@@ -228,6 +238,7 @@
 #[test]
 fn unread_responses_of_many_clients_stay_below_the_memory_limit() {
     // Guards against hundreds of clients that ask for large values, again and again, and read none of them.
+    let _alone = run_alone();
     let value = vec![b'x'; 64 * 1024];
     let server = FakeServer::new("s-1", move |stream, statement| {
         let value: &[u8] = if statement.contains("other") { b"s-1" } else { &value };
@@ -261,6 +272,7 @@
 fn incomplete_responses_and_lists_stay_below_the_memory_limit() {
     // Guards against data servers that stop in the middle of a large response, beside a discovery service whose
     // list never ends and clients that stop in the middle of a command.
+    let _alone = run_alone();
     let notice = [b"N\0\0\x1f\xf8".as_slice(), &[b'x'; 8_180]].concat();
     let ids = ["s-1", "s-2", "s-3", "s-4", "s-5", "s-6", "s-7", "s-8", "s-9"];
     let servers = ids.map(|id| {
--- a/crates/pooler/tests/sockets/new_connections.rs
+++ b/crates/pooler/tests/overload/new_connections.rs
@@ -1,6 +1,7 @@
 //! Requests on new connections beside many clients that are turned away: whatever the pooler does for those, it
 //! must not keep the others waiting to be accepted and served.
 
+use crate::run_alone;
 use crate::support::*;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -11,7 +12,7 @@
 const SOCKETS: usize = 256;
 const BAD_CLIENTS: usize = 280;
 /// The time for which bad clients come.
-const TROUBLE: Duration = Duration::from_secs(4);
+const TROUBLE: Duration = Duration::from_secs(2);
 /// The clients that make each request on a new connection, and the pause before each.
 const USUAL_CLIENTS: usize = 6;
 const PAUSE: Duration = Duration::from_millis(50);
@@ -41,7 +42,7 @@
 }
 
 /// Makes requests on new connections, and asserts that each has its final response in time.
-fn assert_answered_in_time(pooler: SocketAddr, client: usize, ended: &AtomicBool) -> usize {
+fn assert_answered_in_time(what: &str, pooler: SocketAddr, client: usize, ended: &AtomicBool) -> usize {
     let mut requests = 0;
     while !ended.load(Ordering::Relaxed) {
         std::thread::sleep(PAUSE);
@@ -54,15 +55,18 @@
         }
         let elapsed = sent_at.elapsed();
         let allowed = Duration::from_millis(u64::from(DEADLINE_MS)) + LATENESS_ALLOWED;
-        assert!(elapsed <= allowed, "request {requests} was answered after {elapsed:?}: {response:?}");
-        assert!(response.value.is_some() || response.sql_state.is_some(), "{requests}: {response:?}");
+        assert!(
+            elapsed <= allowed,
+            "{what}: request {requests} was answered after {elapsed:?}: {response:?}"
+        );
+        assert!(response.value.is_some() || response.sql_state.is_some(), "{what}: {requests}: {response:?}");
         requests += 1;
     }
     requests
 }
 
 /// Asserts that requests on new connections are answered in time beside bad clients that write these bytes.
-fn assert_answered_beside(opening: &[u8], rest: &[u8]) {
+fn assert_answered_beside(what: &str, opening: &[u8], rest: &[u8]) {
     let server = FakeServer::answering("s-1", "replica");
     let pooler = PoolerProcess::with_server(&server, "replica", |config| config.sockets(SOCKETS));
     let (address, ended) = (pooler.address, AtomicBool::new(false));
@@ -72,7 +76,7 @@
         }
         let ended = &ended;
         let usual = (0..USUAL_CLIENTS)
-            .map(|client| scope.spawn(move || assert_answered_in_time(address, client, ended)));
+            .map(|client| scope.spawn(move || assert_answered_in_time(what, address, client, ended)));
         let usual: Vec<_> = usual.collect();
         std::thread::sleep(TROUBLE);
         ended.store(true, Ordering::Relaxed);
@@ -89,7 +93,38 @@
 fn clients_that_send_huge_values_delay_no_new_connection() {
     // Guards against reading from hundreds of clients that have had their error as fast as they send, while new
     // connections wait in the backlog.
+    let _alone = run_alone();
     let mut opening = startup_bytes(b"Q");
     opening.extend_from_slice(&HUGE_VALUE.to_be_bytes());
-    assert_answered_beside(&opening, &vec![b'x'; WRITE_SIZE]);
+    assert_answered_beside("huge values", &opening, &vec![b'x'; WRITE_SIZE]);
+}
+
+#[test]
+fn clients_that_repeat_cheap_or_unsound_commands_delay_no_new_connection() {
+    // Guards against hundreds of clients at full speed whose commands cost little or are rejected, but together
+    // take the time of the clients that are served.
+    let _alone = run_alone();
+    let unsound = |statement: &str| query_bytes([statement]);
+    let many_fields = format!("SELECT 1 /* id=1,c=unheard-of,d=100,cluster=2{} */", ",a=1".repeat(32_000));
+    let kinds: [(&str, Vec<u8>, Vec<u8>); 8] = [
+        ("empty queries", startup_bytes(b""), query_bytes(std::iter::repeat_n("", 1_000))),
+        ("copy messages", startup_bytes(b""), b"d\0\0\0\x04".repeat(1_000)),
+        ("syncs", startup_bytes(b""), b"S\0\0\0\x04".repeat(1_000)),
+        ("statements that are no requests", startup_bytes(b""), unsound("SELECT now()").repeat(100)),
+        ("many short fields", startup_bytes(b""), unsound(&many_fields)),
+        ("nothing that can be read", b"GET / HTTP/1.1\r\n\r\n".to_vec(), vec![b'x'; WRITE_SIZE]),
+        (
+            "input that is discarded until Sync",
+            startup_bytes(b"P\0\0\0\x08\0\0\0\0"),
+            b"H\0\0\0\x04".repeat(1_000),
+        ),
+        (
+            "commands ahead",
+            startup_bytes(&query_bytes([read_statement("held")])),
+            query_bytes(std::iter::repeat_n("", 1_000)),
+        ),
+    ];
+    for (name, opening, rest) in kinds {
+        assert_answered_beside(name, &opening, &rest);
+    }
 }
--- a/crates/pooler/tests/sockets/main.rs
+++ b/crates/pooler/tests/sockets/main.rs
@@ -13,8 +13,6 @@
 mod flooding;
 mod freshness;
 mod malformed_input;
-mod memory;
-mod new_connections;
 mod proxying;
 mod reload;
 mod server_connections;
--- a/crates/proxy/src/client/accept.rs
+++ b/crates/proxy/src/client/accept.rs
@@ -15,6 +15,8 @@
 /// The length of the queue of connections that wait to be accepted. A burst of connections after a restart
 /// must not overflow the queue.
 const BACKLOG: i32 = 1_024;
+/// The number of connections that are accepted before the other tasks have their turn.
+const MAX_ACCEPTED_IN_TURN: u32 = 16;
 /// The pause of the accept loop when file descriptors have run out.
 const RESOURCE_EXHAUSTION_PAUSE: Duration = Duration::from_millis(20);
 /// The pause of the accept loop after any other error, so that a persistent error causes no busy loop.
@@ -33,18 +35,20 @@
 
 /// Accepts clients until the shutdown closes the listener.
 pub(crate) async fn run(context: Rc<ClientContext>, listener: Async<TcpListener>) {
+    let mut accepted_in_turn = 0;
     loop {
         let accepted = async { Some(accept_one(&context, &listener).await) };
         match or(accepted, wait_for_end_of_accepting(&context, None)).await {
             None => return,
             Some(Ok((stream, slot))) => {
-                // A client that was accepted gets a response even if the shutdown begins before its
-                // admission.
-                let admission =
-                    or(slot.admit(), wait_for_end_of_accepting(&context, Admission::Rejected)).await;
-                spawn_session(&context, stream, slot, admission);
-                // A flood of new connections must not delay the clients that are already connected.
-                yield_now().await;
+                spawn_session(&context, stream, slot);
+                accepted_in_turn += 1;
+                // A flood of new connections must not delay the clients that are already connected. Nor must
+                // those keep the new ones waiting, each of which may be behind hundreds of others.
+                if accepted_in_turn == MAX_ACCEPTED_IN_TURN {
+                    accepted_in_turn = 0;
+                    yield_now().await;
+                }
             }
             Some(Err(error)) => {
                 or(pause_after_error(&context, &listener, &error), wait_for_end_of_accepting(&context, ()))
@@ -91,7 +95,7 @@
     Timer::after(RESOURCE_EXHAUSTION_PAUSE).await;
 }
 
-fn spawn_session(context: &Rc<ClientContext>, stream: Async<TcpStream>, slot: Slot, admission: Admission) {
+fn spawn_session(context: &Rc<ClientContext>, stream: Async<TcpStream>, slot: Slot) {
     context.counters.client_connections.increment();
     // Nagle's algorithm would hold a response back until the previous one is acknowledged, and the response
     // would be lost if the connection broke in the meantime. If the option can't be set, the connection is
@@ -99,6 +103,9 @@
     let _ = stream.get_ref().set_nodelay(true);
     let session_context = context.clone();
     let task = async move {
+        // A client that was accepted gets a response even if the shutdown begins before its admission.
+        let admission =
+            or(slot.admit(), wait_for_end_of_accepting(&session_context, Admission::Rejected)).await;
         // An error on one client's connection closes only that connection.
         let _ = ClientSession::new(&session_context, TcpConnection::new(stream), slot).run(admission).await;
     };
--- a/crates/proxy/src/client/connection_slots.rs
+++ b/crates/proxy/src/client/connection_slots.rs
@@ -27,6 +27,9 @@
 /// The divisor for the share of the slots that clients without a request may occupy: a quarter.
 const AWAITING_FIRST_REQUEST_DIVISOR: usize = 4;
 
+/// The number of connections that are evicted at once when the limit on open connections is reached.
+const MAX_EVICTIONS_AT_ONCE: u32 = 8;
+
 /// The eviction priority of the connection of a client without a request in flight; the first variant is
 /// evicted first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -146,13 +149,15 @@
         self.open.get() >= self.limits.clients + self.limits.rejected
     }
 
-    /// Waits until another connection may be opened; evicts a connection that is not served if necessary.
+    /// Waits until another connection may be opened; evicts connections that are not served if necessary.
     /// Must be called only when a client is waiting to be accepted.
     pub async fn wait_for_open_capacity(&self) {
         while self.is_open_limit_reached() {
-            if !self.evict_one(EvictionClass::Unserved..=EvictionClass::Unserved).await {
-                self.wait_for_change().await;
+            // More than one, since each eviction takes a turn of the connection's task.
+            for _ in 0..MAX_EVICTIONS_AT_ONCE {
+                self.request_eviction(EvictionClass::Unserved..=EvictionClass::Unserved);
             }
+            self.wait_for_change().await;
         }
     }
 
@@ -192,13 +197,19 @@
     /// Requests the eviction of one connection of these classes and waits for the answer. The connection's
     /// task may refuse because its client has sent something. Returns false if no connection can be evicted.
     pub async fn evict_one(&self, classes: RangeInclusive<EvictionClass>) -> bool {
+        let Some(request) = self.request_eviction(classes) else { return false };
+        request.answered.wait().await;
+        true
+    }
+
+    /// Requests the eviction of one connection of these classes; `None` if no connection can be evicted.
+    fn request_eviction(&self, classes: RangeInclusive<EvictionClass>) -> Option<Rc<EvictionRequest>> {
         let classes = EvictionClass::ALL.into_iter().filter(|class| classes.contains(class));
         let is_old_enough = |key: &EvictionKey| key.since.elapsed() >= key.class.min_age();
         let oldest = classes.filter_map(|class| self.oldest(class)).find(is_old_enough);
-        let Some(request) = oldest.and_then(|key| self.remove_evictable(key)) else { return false };
+        let request = oldest.and_then(|key| self.remove_evictable(key))?;
         request.requested.set();
-        request.answered.wait().await;
-        true
+        Some(request)
     }
 
     /// The oldest evictable connection of this class.
--- a/crates/proxy/src/protocol/message.rs
+++ b/crates/proxy/src/protocol/message.rs
@@ -2,6 +2,7 @@
 //! word, and a body.
 
 use super::error::ProtocolError;
+use std::ffi::CStr;
 
 /// The size of a message's tag, in bytes.
 pub(super) const TAG_SIZE: usize = 1;
@@ -58,9 +59,10 @@
     data: &'a [u8],
     part: &'static str,
 ) -> Result<(&'a str, &'a [u8]), ProtocolError> {
-    let end = data.iter().position(|byte| *byte == 0).ok_or(ProtocolError::Malformed(part))?;
-    let string = std::str::from_utf8(&data[..end]).map_err(|_| ProtocolError::Malformed(part))?;
-    Ok((string, &data[end + 1..]))
+    let string = CStr::from_bytes_until_nul(data).map_err(|_| ProtocolError::Malformed(part))?;
+    let rest = &data[string.count_bytes() + 1..];
+    let string = string.to_str().map_err(|_| ProtocolError::Malformed(part))?;
+    Ok((string, rest))
 }
 
 /// Parses a body that consists of one zero-terminated string; `part` names the string in errors.
--- a/crates/proxy/src/protocol/statement.rs
+++ b/crates/proxy/src/protocol/statement.rs
@@ -7,8 +7,12 @@
 
 /// The largest length of a request id, in bytes.
 const MAX_REQUEST_ID_LENGTH: usize = 64;
+/// The largest size of a request comment, in bytes, delimiters included.
+const MAX_COMMENT_SIZE: usize = 4 * 1024;
 /// The exclusive upper limit of timeouts, in milliseconds.
 const TIMEOUT_LIMIT_MILLIS: f64 = 1e9;
+const COMMENT_START: &str = "/*";
+const COMMENT_END: &str = "*/";
 /// The commands that change only the session's own state.
 const SESSION_COMMANDS: [&str; 3] = ["SET", "RESET", "DISCARD"];
 
@@ -59,13 +63,13 @@
 ///
 /// # Errors
 ///
-/// When the statement ends with a comment in which a field is missing, repeated or malformed.
+/// When the statement ends with a comment that is too long, or in which a field is missing, repeated or malformed.
 pub fn classify_statement(statement: &str) -> Result<StatementKind<'_>, ProtocolError> {
     let trimmed = statement.trim_matches(is_padding);
     if trimmed.is_empty() {
         return Ok(StatementKind::Empty);
     }
-    if let Some(range) = trailing_comment(statement) {
+    if let Some(range) = trailing_comment(statement)? {
         return parse_request_comment(statement, range).map(StatementKind::Request);
     }
     let keyword = trimmed.split(|c: char| !c.is_ascii_alphabetic()).next().unwrap_or("");
@@ -78,11 +82,20 @@
     character.is_ascii_whitespace() || character == ';'
 }
 
-/// The byte range of the comment at the end of a statement, delimiters excluded.
-fn trailing_comment(statement: &str) -> Option<Range<usize>> {
-    let end = statement.trim_end_matches(is_padding).strip_suffix("*/")?.len();
-    let start = statement[..end].rfind("/*")? + 2;
-    Some(start..end)
+/// The byte range of the comment at the end of a statement, delimiters excluded. Only as much of the statement
+/// is searched as a request comment may take up: a client may send values of 64 KiB.
+fn trailing_comment(statement: &str) -> Result<Option<Range<usize>>, ProtocolError> {
+    let Some(before_end) = statement.trim_end_matches(is_padding).strip_suffix(COMMENT_END) else {
+        return Ok(None);
+    };
+    let end = before_end.len();
+    let searched_from = (end + COMMENT_END.len()).saturating_sub(MAX_COMMENT_SIZE);
+    let searched = &statement.as_bytes()[searched_from..end];
+    match searched.windows(COMMENT_START.len()).rposition(|window| window == COMMENT_START.as_bytes()) {
+        Some(position) => Ok(Some(searched_from + position + COMMENT_START.len()..end)),
+        None if searched_from > 0 => Err(MALFORMED_COMMENT),
+        None => Ok(None),
+    }
 }
 
 /// The unparsed field values of a comment.
--- a/crates/proxy/tests/parsers.rs
+++ b/crates/proxy/tests/parsers.rs
@@ -138,3 +138,18 @@
     let malformed = "SELECT 1 /* id=a1,c=any,d=480,cluster=2,after=soon */";
     assert!(classify_statement(malformed).is_err(), "a malformed last write must not count as a missing one");
 }
+
+#[test]
+fn a_comment_is_searched_for_and_read_only_up_to_its_limit() {
+    // Guards against commands of the largest size whose tens of thousands of fields take a millisecond each.
+    let request =
+        |fields: usize| format!("SELECT 1 /* id=1,c=bundle-menu,d=100,cluster=2{} */", ",a=1".repeat(fields));
+    assert!(matches!(classify_statement(&request(1_000)), Ok(StatementKind::Request(_))));
+    assert!(classify_statement(&request(1_020)).is_err(), "a comment of over 4 KiB is rejected");
+    // A comment behind a large value, and one that begins exactly at the limit.
+    let large_value = format!("INSERT '{}' {}", "ab".repeat(64 * 1024), &request(0)[9..]);
+    assert!(matches!(classify_statement(&large_value), Ok(StatementKind::Request(_))));
+    assert_eq!(classify_statement("SELECT 'é*/"), Ok(StatementKind::Unsupported));
+    let multibyte = format!("{}*/", "é".repeat(4 * 1024));
+    assert!(classify_statement(&multibyte).is_err(), "the search may begin within a character");
+}
