Keep the id of a write that may have run reserved until after its deadline

Cause: an id was reserved only while its request was in flight, which ends when the client leaves, though the data server may run the write until its deadline.

Fix: the id of a write, or of a read that must not run twice, stays reserved until half a second after the deadline if the request has run or may have run. At most 10,000 are retained and counted; beyond that, writes are refused.

--- a/crates/pooler/tests/sockets/main.rs
+++ b/crates/pooler/tests/sockets/main.rs
@@ -15,6 +15,7 @@
 mod malformed_input;
 mod proxying;
 mod reload;
+mod repeated_ids;
 mod server_connections;
 mod shutdown;
 mod status_report;
--- a/crates/proxy/src/assembly.rs
+++ b/crates/proxy/src/assembly.rs
@@ -16,7 +16,7 @@
 use crate::lifecycle::shutdown::Shutdown;
 use crate::lifecycle::signals::SignalHandler;
 use crate::lifecycle::stages::ShutdownStages;
-use crate::memory_budget::{MemoryBudget, MemoryLimits};
+use crate::memory_budget::{MemoryBudget, MemoryLimits, Reservation};
 use crate::metrics::{Counters, StatusReport};
 use crate::router_handle::RouterHandle;
 use crate::server::health_checks;
@@ -162,7 +162,7 @@
             classes: classes.iter().map(request_class).collect(),
             in_doubt_writes: self.in_doubt_writes.clone(),
             longest_deadline: config.proxy.longest_deadline,
-            open_request_ids: OpenRequestIds::default(),
+            open_request_ids: OpenRequestIds::new(Reservation::new(self.memory.clone())),
             cancellation_keys: CancellationKeys::default(),
             no_slot_retry_after: no_slot_retry_after(&config.settings),
             discarder: Rc::new(Discarder::new()),
@@ -191,7 +191,7 @@
 
 /// Reduces a request class to the properties that the client side uses.
 fn request_class(class: &pooler_routing::RequestClass) -> RequestClass {
-    RequestClass { name: class.name.clone(), operation: class.operation }
+    RequestClass { name: class.name.clone(), operation: class.operation, idempotency: class.idempotency }
 }
 
 /// The retry-after for clients rejected for lack of a free slot; `None` if the settings don't allow a
--- a/crates/proxy/src/client/commands.rs
+++ b/crates/proxy/src/client/commands.rs
@@ -65,10 +65,10 @@
     let command = match classify_statement(statement) {
         Ok(StatementKind::Request(comment)) => {
             let arrival_time = buffer.arrival_time(size);
-            if let Some(request) = BufferedRequest::new(context, statement, &comment, arrival_time) {
-                return Ok(Command::Request(request.take_statement(buffer, size)));
+            match BufferedRequest::new(context, statement, &comment, arrival_time) {
+                Ok(request) => return Ok(Command::Request(request.take_statement(buffer, size))),
+                Err(error) => Command::Rejected(error),
             }
-            Command::Rejected(ErrorReply::UnknownClassOrIdInUse)
         }
         Ok(StatementKind::Empty) => Command::EmptyQuery,
         Ok(StatementKind::SessionCommand(command_tag)) => Command::SessionSetting(command_tag),
--- a/crates/proxy/src/client/context.rs
+++ b/crates/proxy/src/client/context.rs
@@ -11,6 +11,7 @@
 use crate::router_handle::RouterHandle;
 use crate::server::pool::Pool;
 use async_executor::LocalExecutor;
+use pooler_routing::settings::Idempotency;
 use pooler_routing::{ClassId, Operation, TimeDelta};
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,6 +23,16 @@
     pub(crate) name: String,
     /// The operation of the class's requests: a write, or a read with its consistency.
     pub(crate) operation: Operation,
+    /// Whether the class's requests may run more than once.
+    pub(crate) idempotency: Idempotency,
+}
+
+impl RequestClass {
+    /// Whether a request of this class that may have run must not run again under the same id. The reads that
+    /// may run any number of times are the only ones that may.
+    pub(crate) fn retains_ids(&self) -> bool {
+        self.operation == Operation::Write || self.idempotency != Idempotency::Idempotent
+    }
 }
 
 /// The state that the accept loop and all client sessions share.
@@ -44,7 +55,7 @@
     pub(crate) in_doubt_writes: Rc<InDoubtWrites>,
     /// The longest deadline of any request class, which limits the timeouts of clients.
     pub(crate) longest_deadline: Duration,
-    /// The ids of the requests in flight, at most one per connection.
+    /// The ids of the requests in flight, at most one per connection, and of those that must not run again.
     pub(crate) open_request_ids: OpenRequestIds,
     /// The keys by which clients cancel their requests.
     pub(crate) cancellation_keys: CancellationKeys,
--- a/crates/proxy/src/client/mod.rs
+++ b/crates/proxy/src/client/mod.rs
@@ -9,7 +9,7 @@
 pub(crate) mod discarding;
 mod errors;
 pub mod in_doubt_writes;
-pub(crate) mod open_request_ids;
+pub mod open_request_ids;
 pub(crate) mod read_ahead;
 mod requests;
 mod responses;
--- a/crates/proxy/src/client/requests.rs
+++ b/crates/proxy/src/client/requests.rs
@@ -3,8 +3,9 @@
 use crate::buffer::ReadBuffer;
 use crate::client::cancellation::CancellableSession;
 use crate::client::connection::ClientConnection;
-use crate::client::context::ClientContext;
-use crate::client::open_request_ids::OpenRequestId;
+use crate::client::context::{ClientContext, RequestClass};
+use crate::client::errors::ErrorReply;
+use crate::client::open_request_ids::{OpenRequestId, ReservationError};
 use crate::protocol::{HEADER_SIZE, RequestComment, first_quoted_literal};
 use crate::request::{AbortReason, ClientRequest, FinalResponse, serve};
 use crate::server::statement::{ClientStatement, QueryResponse};
@@ -31,16 +32,27 @@
 }
 
 impl<'a> BufferedRequest<'a> {
-    /// Creates the request that a statement describes; `None` if its class is unknown or its id is in use.
+    /// Creates the request that a statement describes.
+    ///
+    /// # Errors
+    ///
+    /// When its class is unknown, or its id can't be reserved.
     pub(super) fn new(
         context: &'a ClientContext,
         statement: &str,
         comment: &RequestComment<'_>,
         arrival_time: Option<Instant>,
-    ) -> Option<Self> {
-        let class = context.class_id(comment.class)?;
-        let id = context.open_request_ids.reserve(comment.request_id)?;
-        let operation = context.class(class).operation;
+    ) -> Result<Self, ErrorReply> {
+        let class = context.class_id(comment.class).ok_or(ErrorReply::UnknownClassOrIdInUse)?;
+        let RequestClass { operation, .. } = *context.class(class);
+        let (now, retains_ids) = (context.router.now(), context.class(class).retains_ids());
+        let id = context.open_request_ids.reserve(comment.request_id, now, retains_ids);
+        let id = id.map_err(|error| match error {
+            ReservationError::InUse => ErrorReply::UnknownClassOrIdInUse,
+            ReservationError::TooManyRetained => {
+                ErrorReply::RequestRejected { retry_after: context.no_slot_retry_after }
+            }
+        })?;
         let request = ClientRequest {
             class,
             session: session_key(operation, statement),
@@ -49,7 +61,7 @@
             last_write: comment.last_write,
             query: (),
         };
-        Some(Self { request, id, timeout_digits: comment.timeout_digits.clone() })
+        Ok(Self { request, id, timeout_digits: comment.timeout_digits.clone() })
     }
 
     /// Takes the statement out of the buffer; the buffer must start with the statement's message of `size`
@@ -92,7 +104,7 @@
     connection: &mut ClientConnection<'_>,
     session: &CancellableSession<'_>,
     request: ClientRequest<ClientStatement>,
-    request_id: &str,
+    id: &OpenRequestId<'_>,
 ) -> FinalResponse<QueryResponse> {
     // A cancellation affects only the request in flight, not later ones.
     let cancellation = session.next_cancellation();
@@ -110,7 +122,10 @@
     };
     let abort = or(client_closed, or(cancelled, shutdown));
     let response = serve(&context.router, &*context.pool, &request, abort).await;
-    record_if_in_doubt(context, request.class, request_id, &response);
+    if may_have_run(&response) && context.class(request.class).retains_ids() {
+        id.retain_after(request.deadline);
+    }
+    record_if_in_doubt(context, request.class, id.as_str(), &response);
     connection.reuse_command_buffer(request.query.buffer);
     response
 }
@@ -132,6 +147,11 @@
     }
 }
 
+/// Whether a request with this final response has run or may have run.
+fn may_have_run(response: &FinalResponse<QueryResponse>) -> bool {
+    matches!(response, FinalResponse::Served(_)) || may_have_run_at(response).is_some()
+}
+
 /// The last endpoint that may have run a request to which no response arrived.
 fn may_have_run_at(response: &FinalResponse<QueryResponse>) -> Option<&EndpointId> {
     match response {
--- a/crates/proxy/src/client/session.rs
+++ b/crates/proxy/src/client/session.rs
@@ -171,7 +171,7 @@
             self.context.counters.rejected.increment();
             FinalResponse::Rejected(None)
         } else {
-            serve_request(self.context, &mut self.connection, &self.registration, request, id.as_str()).await
+            serve_request(self.context, &mut self.connection, &self.registration, request, &id).await
         };
         let flow = send_final_response(&self.connection, response, &mut self.responses).await;
         self.responses.clear();
