Read what has arrived before a request is routed, to find its client's close

Cause: the close is behind all that the client sent.

Fix: before a request is routed, its connection is read until nothing more has arrived or the close is found, for at most 0.1 s.

--- a/crates/pooler/tests/sockets/client_disconnects.rs
+++ b/crates/pooler/tests/sockets/client_disconnects.rs
@@ -194,3 +194,26 @@
     }
     gate.open();
 }
+
+#[test]
+fn a_request_is_not_sent_for_a_client_that_left_long_ago_with_much_unread() {
+    // Guards against requests that are sent on after their client has closed its connection, as the close is
+    // behind much that the pooler has not read.
+    let server = FakeServer::answering("s-1", "master");
+    let pooler = PoolerProcess::with_primary(&server);
+    assert_eq!(Client::connect(&pooler).query(&write_statement("first")).text(), Some("s-1"));
+    // Copy messages get no response, whose failure would show that the client has left.
+    let copy_messages = b"d\0\0\0\x04".repeat(700_000);
+    for (number, unread_bytes) in [0, 1_000_000, 2_000_000, 3_500_000].into_iter().enumerate() {
+        let request = query_bytes([write_statement(&format!("gone-{number}"))]);
+        let mut client = Client::connect(&pooler);
+        client.stream.write_bytes(
+            &[&copy_messages[..500_000], request.as_slice(), &copy_messages[..unread_bytes]].concat(),
+        );
+        drop(client);
+    }
+    assert!(pooler.reaches_counter(" client_disconnects=4 "), "{}", pooler.counters());
+    let sent: Vec<_> =
+        server.statements().into_iter().filter(|statement| statement.contains("gone")).collect();
+    assert_eq!(sent, [""; 0], "no request may be sent for a client that has left");
+}
--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -110,6 +110,11 @@
         self.read_ahead.take_next()
     }
 
+    /// Reads ahead what has arrived already.
+    pub(super) async fn read_arrived(&mut self) {
+        self.read_ahead.read_arrived(&self.stream, &mut self.buffer).await;
+    }
+
     /// Reads ahead until the client closes its connection.
     pub(super) async fn read_until_closed(&mut self) {
         self.read_ahead.read_until_closed(&self.stream, &mut self.buffer).await;
@@ -249,7 +254,7 @@
         self.slot.release();
         self.stream.get_ref().get_ref().shutdown(Shutdown::Write)?;
         self.buffer.clear();
-        let closed_by_client = self.context.discarder.read_until_closed(&self.stream, |_| {});
+        let closed_by_client = self.context.discarder.read_until_closed(&self.stream);
         let timeout = async {
             Timer::after(linger).await;
         };
--- a/crates/proxy/src/client/discarding.rs
+++ b/crates/proxy/src/client/discarding.rs
@@ -1,9 +1,9 @@
-//! Reads bytes that are only to be discarded: what a client sends after its session is over, or beyond the commands
-//! that are buffered for it.
+//! Reads bytes that are not kept: what a client sends after its session is over, or beyond the commands that are
+//! buffered for it.
 //!
-//! All clients share the rate of these reads, however many they are and however fast they send, so that they take
-//! little of the time of the clients that are served. A client that sends faster is slowed down by TCP's flow
-//! control.
+//! All clients whose session is over share the rate of these reads, however many they are and however fast they
+//! send, so that they take little of the time of the clients that are served. A client that sends faster is
+//! slowed down by TCP's flow control.
 
 use crate::buffer::{TcpConnection, discard};
 use async_io::Timer;
@@ -12,14 +12,14 @@
 
 /// The size of the buffer for bytes that are discarded, in bytes.
 const BUFFER_SIZE: usize = 64 * 1024;
-/// The interval between two reads, over all clients.
+/// The interval between two reads from clients whose session is over.
 const READ_INTERVAL: Duration = Duration::from_millis(1);
 
 /// Reads for all clients whose bytes are discarded.
 #[derive(Debug)]
 pub(crate) struct Discarder {
     buffer: RefCell<Vec<u8>>,
-    /// The number of clients whose bytes are being discarded.
+    /// The number of clients whose session is over.
     clients: Cell<u32>,
 }
 
@@ -36,11 +36,11 @@
         true
     }
 
-    /// Reads until the client closes its side of the connection or reading fails, and passes all bytes to
-    /// `inspect`.
-    pub(crate) async fn read_until_closed(&self, stream: &TcpConnection, mut inspect: impl FnMut(&[u8])) {
+    /// Discards what a client sends after its session, until it closes its side of the connection or reading
+    /// fails.
+    pub(crate) async fn read_until_closed(&self, stream: &TcpConnection) {
         let _client = ClientCount::new(&self.clients);
-        while self.read(stream, &mut inspect).await {
+        while self.read(stream, |_| {}).await {
             Timer::after(READ_INTERVAL * self.clients.get()).await;
         }
     }
--- a/crates/proxy/src/client/read_ahead.rs
+++ b/crates/proxy/src/client/read_ahead.rs
@@ -7,8 +7,14 @@
 use crate::client::discarding::Discarder;
 use crate::memory_budget::MemoryUse;
 use crate::protocol::{ProtocolError, QuerySkipper, parse_frontend_message};
+use async_io::Timer;
+use futures_lite::future::{or, poll_once, yield_now};
 use std::rc::Rc;
+use std::time::Duration;
 
+/// The longest time for which the bytes that have arrived are read before a request is routed. An attempt must
+/// not begin longer than this after its client has left.
+const MAX_READ_TIME: Duration = Duration::from_millis(100);
 /// The limit on the buffered bytes of a client.
 const BUFFER_LIMIT: usize = 256 * 1024;
 /// The limit on the skipped commands of a client that await an error response each; exceeding the limit is a
@@ -94,17 +100,42 @@
 
     /// Reads until the client closes its connection or reading fails.
     pub(crate) async fn read_until_closed(&mut self, stream: &TcpConnection, buffer: &mut ReadBuffer) {
-        while self.skipped.is_none() {
+        while self.read_once(stream, buffer).await {
+            if self.is_skipping() {
+                // A client that sends at full speed must not delay other clients.
+                yield_now().await;
+            }
+        }
+    }
+
+    /// Reads what has arrived, up to the client's close of its connection, which may be behind everything else
+    /// that the client has sent. Gives up a client that does not stop sending.
+    pub(crate) async fn read_arrived(&mut self, stream: &TcpConnection, buffer: &mut ReadBuffer) {
+        let arrived = async {
+            loop {
+                // Here rather than in the read, which is only polled once.
+                stream.yield_if_due().await;
+                if poll_once(self.read_once(stream, buffer)).await != Some(true) {
+                    return;
+                }
+            }
+        };
+        let expired = async {
+            Timer::after(MAX_READ_TIME).await;
+        };
+        or(arrived, expired).await;
+    }
+
+    /// Reads once; false at the end of the stream or when reading fails.
+    async fn read_once(&mut self, stream: &TcpConnection, buffer: &mut ReadBuffer) -> bool {
+        if self.skipped.is_none() {
             let is_full = buffer.data().len() >= BUFFER_LIMIT;
-            if is_full || !buffer.try_make_room(MemoryUse::CommandAhead) {
-                self.skipped = Some(SkippedCommands::begin(buffer));
-            } else if !matches!(buffer.fill(stream).await, Ok(1..)) {
-                return;
+            if !is_full && buffer.try_make_room(MemoryUse::CommandAhead) {
+                return matches!(buffer.fill(stream).await, Ok(1..));
             }
+            self.skipped = Some(SkippedCommands::begin(buffer));
         }
-        let Self { discarder, skipped } = self;
-        let advance = |bytes: &[u8]| advance_skipped(skipped, bytes);
-        discarder.read_until_closed(stream, advance).await;
+        self.skip(stream).await
     }
 
     /// Reads once and skips the bytes; false at the end of the stream or when reading fails.
--- a/crates/proxy/src/client/requests.rs
+++ b/crates/proxy/src/client/requests.rs
@@ -106,6 +106,8 @@
     request: ClientRequest<ClientStatement>,
     id: &OpenRequestId<'_>,
 ) -> FinalResponse<QueryResponse> {
+    // The client may have left long ago, with much that it has sent still unread.
+    connection.read_arrived().await;
     // A cancellation affects only the request in flight, not later ones.
     let cancellation = session.next_cancellation();
     let client_closed = async {
