Count a request's deadline from when it can have arrived, backlog included

The wait in the accept queue and the time in which a connection is not read were left out.

Fix: the accept loop bounds the wait by when the queue was last empty and by its length; a read buffer bounds the arrival of bytes that were there already by when a read last found nothing more.

--- a/crates/pooler/tests/overload/new_connections.rs
+++ b/crates/pooler/tests/overload/new_connections.rs
@@ -3,9 +3,11 @@
 
 use crate::run_alone;
 use crate::support::*;
+use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// The descriptors of the pooler, and the clients that are turned away, which are more.
@@ -19,6 +21,8 @@
 /// The time that they give their requests, and the lateness that the operators' pages allow.
 const DEADLINE_MS: u32 = 500;
 const LATENESS_ALLOWED: Duration = Duration::from_millis(500);
+/// How much more time than is left the operators' pages allow a server to be told.
+const TOLD_SLACK: Duration = Duration::from_millis(150);
 /// The longest value of a bad client, in bytes, and the size of its writes.
 const HUGE_VALUE: u32 = 60_000_000;
 const WRITE_SIZE: usize = 256 * 1024;
@@ -41,14 +45,46 @@
     }
 }
 
+/// The deadlines that the server is told, against what is left of those of the clients.
+#[derive(Default)]
+struct Deadlines {
+    /// When each request was sent, by its id.
+    sent_at: Mutex<HashMap<String, Instant>>,
+    /// The requests whose server was told more time than was left.
+    too_long: Mutex<Vec<String>>,
+}
+
+impl Deadlines {
+    /// Checks the deadline in a statement that has just arrived at the server.
+    fn check(&self, statement: &str) {
+        let field = |key: &str| statement.split_once(key)?.1.split_once(',').map(|(value, _)| value);
+        let (Some(id), Some(told)) = (field("id="), field(",d=")) else { return };
+        let Some(sent_at) = self.sent_at.lock().unwrap().get(id).copied() else { return };
+        let elapsed = sent_at.elapsed();
+        let told = Duration::from_secs_f64(told.parse::<f64>().unwrap() / 1000.0);
+        if elapsed + told > Duration::from_millis(u64::from(DEADLINE_MS)) + TOLD_SLACK {
+            self.too_long.lock().unwrap().push(format!("{id}: {told:?} told {elapsed:?} after it was sent"));
+        }
+    }
+}
+
 /// Makes requests on new connections, and asserts that each has its final response in time.
-fn assert_answered_in_time(what: &str, pooler: SocketAddr, client: usize, ended: &AtomicBool) -> usize {
+fn assert_answered_in_time(
+    what: &str,
+    pooler: SocketAddr,
+    client: usize,
+    deadlines: &Deadlines,
+    ended: &AtomicBool,
+) -> usize {
     let mut requests = 0;
     while !ended.load(Ordering::Relaxed) {
         std::thread::sleep(PAUSE);
-        let statement = with_deadline(&read_statement(&format!("usual-{client}-{requests}")), DEADLINE_MS);
-        let mut client = Client::on_socket(TcpStream::connect(pooler).unwrap(), &statement);
+        let id = format!("usual-{client}-{requests}");
+        let statement = with_deadline(&read_statement(&id), DEADLINE_MS);
+        let socket = TcpStream::connect(pooler).unwrap();
         let sent_at = Instant::now();
+        deadlines.sent_at.lock().unwrap().insert(id, sent_at);
+        let mut client = Client::on_socket(socket, &statement);
         let mut response = client.read_response();
         if response.is_ready() {
             response = client.read_response();
@@ -67,16 +103,23 @@
 
 /// Asserts that requests on new connections are answered in time beside bad clients that write these bytes.
 fn assert_answered_beside(what: &str, opening: &[u8], rest: &[u8]) {
-    let server = FakeServer::answering("s-1", "replica");
+    let deadlines = Arc::new(Deadlines::default());
+    let checked = deadlines.clone();
+    let server = FakeServer::new("s-1", move |stream, statement| {
+        checked.check(statement);
+        stream.write_row(b"s-1", "replica", ANY_POSITION_MS);
+        AfterStatement::KeepOpen
+    });
     let pooler = PoolerProcess::with_server(&server, "replica", |config| config.sockets(SOCKETS));
     let (address, ended) = (pooler.address, AtomicBool::new(false));
     std::thread::scope(|scope| {
         for _ in 0..BAD_CLIENTS {
             scope.spawn(|| bad_client(address, opening, rest, &ended));
         }
-        let ended = &ended;
-        let usual = (0..USUAL_CLIENTS)
-            .map(|client| scope.spawn(move || assert_answered_in_time(what, address, client, ended)));
+        let (ended, deadlines) = (&ended, &*deadlines);
+        let usual = (0..USUAL_CLIENTS).map(|client| {
+            scope.spawn(move || assert_answered_in_time(what, address, client, deadlines, ended))
+        });
         let usual: Vec<_> = usual.collect();
         std::thread::sleep(TROUBLE);
         ended.store(true, Ordering::Relaxed);
@@ -86,6 +129,8 @@
         for requests in requests {
             assert!(requests.unwrap() > 0, "each client must have made a request");
         }
+        let too_long = deadlines.too_long.lock().unwrap();
+        assert!(too_long.is_empty(), "{what}: {} deadlines told: {too_long:?}", too_long.len());
     });
 }
 
--- a/crates/proxy/src/buffer.rs
+++ b/crates/proxy/src/buffer.rs
@@ -4,7 +4,7 @@
 use crate::memory_budget::{MAX_UNCOUNTED_SIZE, MemoryUse, Reservation, ReservedBytes, out_of_memory};
 use async_io::Async;
 use futures_lite::future::poll_fn;
-use futures_lite::{AsyncRead, AsyncReadExt, AsyncWriteExt};
+use futures_lite::{AsyncRead, AsyncWriteExt};
 use pooler_cooperative_io::CooperativeStream;
 use pooler_interrupted_io::RetryInterrupted;
 use std::cell::RefCell;
@@ -27,7 +27,7 @@
 /// A TCP connection on which a task that never has to wait yields to the others.
 pub type TcpConnection = CooperativeStream<Async<TcpStream>>;
 
-/// The time at which the bytes of the stream up to a position had arrived.
+/// The earliest time at which the bytes of the stream up to a position may have arrived.
 #[derive(Debug)]
 struct Arrival {
     /// The position in the stream after the last byte of the read.
@@ -48,6 +48,9 @@
     consumed: usize,
     /// The arrival times of the unconsumed bytes, in stream order.
     arrivals: VecDeque<Arrival>,
+    /// The earliest time at which bytes that have not been read may have arrived: all earlier ones have been
+    /// read.
+    unread_since: Instant,
 }
 
 impl Default for ReadBuffer {
@@ -68,9 +71,15 @@
             end: 0,
             consumed: 0,
             arrivals: VecDeque::new(),
+            unread_since: Instant::now(),
         }
     }
 
+    /// Sets the earliest time at which bytes that have not been read may have arrived.
+    pub fn set_unread_since(&mut self, time: Instant) {
+        self.unread_since = time;
+    }
+
     /// The memory that the buffer holds as far as it is counted, in bytes.
     #[must_use]
     pub fn counted_size(&self) -> usize {
@@ -104,7 +113,8 @@
         self.rewind_if_empty();
     }
 
-    /// The time at which the first `count` bytes had all arrived; `None` if some of them have not.
+    /// The earliest time at which the first `count` bytes may all have arrived; `None` if some of them have not.
+    /// It is before the read if the bytes were there already.
     #[must_use]
     pub fn arrival_time(&self, count: usize) -> Option<Instant> {
         let position = self.consumed + count;
@@ -119,12 +129,28 @@
     pub async fn fill(&mut self, stream: &TcpConnection) -> io::Result<usize> {
         self.make_room().await?;
         let mut stream = RetryInterrupted(stream);
-        let count = stream.read(&mut self.bytes.as_mut_slice()[self.end..]).await?;
+        let Self { bytes, end, unread_since, .. } = self;
+        let room = &mut bytes.as_mut_slice()[*end..];
+        let mut has_waited = false;
+        let count = poll_fn(|context| {
+            let read = Pin::new(&mut stream).poll_read(context, room);
+            if has_waited || read.is_pending() {
+                // Nothing was there at the last poll, and the task is woken as soon as something is.
+                *unread_since = Instant::now();
+            }
+            has_waited = read.is_pending();
+            read
+        })
+        .await?;
         if count == 0 {
             return Ok(0);
         }
+        let has_read_all = count < room.len();
         self.end += count;
         self.record_arrival();
+        if has_read_all {
+            self.unread_since = Instant::now();
+        }
         Ok(count)
     }
 
@@ -236,7 +262,7 @@
         let is_full = self.arrivals.len() >= MAX_ARRIVALS;
         match self.arrivals.back_mut().filter(|_| is_full) {
             Some(last) => last.end = end,
-            None => self.arrivals.push_back(Arrival { end, time: Instant::now() }),
+            None => self.arrivals.push_back(Arrival { end, time: self.unread_since }),
         }
     }
 }
--- a/crates/proxy/src/client/accept.rs
+++ b/crates/proxy/src/client/accept.rs
@@ -1,7 +1,8 @@
 //! Accepts client connections within the configured limits; each session runs in a task of its own.
 
 use crate::buffer::TcpConnection;
-use crate::client::connection_slots::{Admission, EvictionClass, Slot};
+use crate::client::accept_queue::AcceptQueue;
+use crate::client::connection_slots::{Admission, EvictionClass};
 use crate::client::context::ClientContext;
 use crate::client::session::ClientSession;
 use crate::resource_exhaustion::is_resource_exhaustion;
@@ -10,7 +11,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The length of the queue of connections that wait to be accepted. A burst of connections after a restart
 /// must not overflow the queue.
@@ -35,13 +36,16 @@
 
 /// Accepts clients until the shutdown closes the listener.
 pub(crate) async fn run(context: Rc<ClientContext>, listener: Async<TcpListener>) {
+    let mut queue = AcceptQueue::new(BACKLOG as usize, Instant::now());
     let mut accepted_in_turn = 0;
     loop {
-        let accepted = async { Some(accept_one(&context, &listener).await) };
+        let accepted = async { Some(accept_one(&listener, &mut queue).await) };
         match or(accepted, wait_for_end_of_accepting(&context, None)).await {
             None => return,
-            Some(Ok((stream, slot))) => {
-                spawn_session(&context, stream, slot);
+            Some(Ok(client)) => {
+                // Other connections are closed only for a client that has come.
+                or(context.slots.wait_for_open_capacity(), wait_for_end_of_accepting(&context, ())).await;
+                spawn_session(&context, client);
                 accepted_in_turn += 1;
                 // A flood of new connections must not delay the clients that are already connected. Nor must
                 // those keep the new ones waiting, each of which may be behind hundreds of others.
@@ -64,19 +68,28 @@
     result
 }
 
-/// Accepts one client once another connection may be opened. Client connections are opened only here, so the
-/// limit still permits one more when the client arrives.
-async fn accept_one(
-    context: &ClientContext,
-    listener: &Async<TcpListener>,
-) -> io::Result<(Async<TcpStream>, Slot)> {
-    if context.slots.is_open_limit_reached() {
-        // Other connections are closed only if a client is waiting to be accepted.
-        listener.readable().await?;
-        context.slots.wait_for_open_capacity().await;
+/// A client that has been accepted.
+struct AcceptedClient {
+    stream: Async<TcpStream>,
+    /// The earliest time at which it can have come.
+    queued_since: Instant,
+}
+
+/// Accepts one client.
+async fn accept_one(listener: &Async<TcpListener>, queue: &mut AcceptQueue) -> io::Result<AcceptedClient> {
+    loop {
+        match listener.get_ref().accept() {
+            Ok((stream, _)) => {
+                let queued_since = queue.record_accepted(Instant::now());
+                return Ok(AcceptedClient { stream: Async::new(stream)?, queued_since });
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                listener.readable().await?;
+                queue.record_empty(Instant::now());
+            }
+            Err(error) => return Err(error),
+        }
     }
-    let (stream, _) = listener.accept().await?;
-    Ok((stream, context.slots.open()))
 }
 
 /// Pauses after an error, so that a persistent error neither makes the accept loop busy nor ends it.
@@ -95,7 +108,9 @@
     Timer::after(RESOURCE_EXHAUSTION_PAUSE).await;
 }
 
-fn spawn_session(context: &Rc<ClientContext>, stream: Async<TcpStream>, slot: Slot) {
+fn spawn_session(context: &Rc<ClientContext>, client: AcceptedClient) {
+    let AcceptedClient { stream, queued_since } = client;
+    let slot = context.slots.open();
     context.counters.client_connections.increment();
     // Nagle's algorithm would hold a response back until the previous one is acknowledged, and the response
     // would be lost if the connection broke in the meantime. If the option can't be set, the connection is
@@ -107,7 +122,8 @@
         let admission =
             or(slot.admit(), wait_for_end_of_accepting(&session_context, Admission::Rejected)).await;
         // An error on one client's connection closes only that connection.
-        let _ = ClientSession::new(&session_context, TcpConnection::new(stream), slot).run(admission).await;
+        let stream = TcpConnection::new(stream);
+        let _ = ClientSession::new(&session_context, stream, slot, queued_since).run(admission).await;
     };
     context.executor.spawn(task).detach();
 }
--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -69,12 +69,20 @@
 }
 
 impl<'a> ClientConnection<'a> {
-    /// Creates the state of a connection that has just been accepted.
-    pub(super) fn new(context: &'a ClientContext, stream: TcpConnection, slot: Slot) -> Self {
+    /// Creates the state of a connection that has just been accepted, on which bytes may have arrived since
+    /// `queued_since`.
+    pub(super) fn new(
+        context: &'a ClientContext,
+        stream: TcpConnection,
+        slot: Slot,
+        queued_since: Instant,
+    ) -> Self {
+        let mut buffer = ReadBuffer::new(Reservation::new(context.memory.clone()), MemoryUse::Command);
+        buffer.set_unread_since(queued_since);
         Self {
             context,
             stream,
-            buffer: ReadBuffer::new(Reservation::new(context.memory.clone()), MemoryUse::Command),
+            buffer,
             slot,
             phase: SessionPhase::Startup,
             waiting_since: Instant::now(),
--- a/crates/proxy/src/client/mod.rs
+++ b/crates/proxy/src/client/mod.rs
@@ -1,6 +1,7 @@
 //! The client side: accepts connections, limits their number, and runs a session on each.
 
 pub mod accept;
+pub mod accept_queue;
 pub(crate) mod cancellation;
 mod commands;
 mod connection;
--- a/crates/proxy/src/client/session.rs
+++ b/crates/proxy/src/client/session.rs
@@ -17,7 +17,7 @@
 use crate::request::FinalResponse;
 use futures_lite::future::yield_now;
 use std::ops::ControlFlow;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The pause after each rejected command: a client that repeats a rejected command as fast as possible would
 /// delay other clients.
@@ -45,11 +45,17 @@
 
 impl<'a> ClientSession<'a> {
     /// Creates the session of a connection that has just been accepted.
-    pub(super) fn new(context: &'a ClientContext, stream: TcpConnection, slot: Slot) -> Self {
+    /// `queued_since` is the earliest time at which its client can have sent something.
+    pub(super) fn new(
+        context: &'a ClientContext,
+        stream: TcpConnection,
+        slot: Slot,
+        queued_since: Instant,
+    ) -> Self {
         Self {
             context,
             registration: context.cancellation_keys.register(slot.number()),
-            connection: ClientConnection::new(context, stream, slot),
+            connection: ClientConnection::new(context, stream, slot, queued_since),
             rejected_commands: 0,
             skip_until_sync: false,
             responses: Vec::new(),
