Retain more ids of writes, as hashes, so that one client cannot use them up

Fix: ids are kept as keyed hashes of 48 bytes each, 100,000 at most, more than one process can serve within the retention.

--- a/crates/pooler/tests/overload/main.rs
+++ b/crates/pooler/tests/overload/main.rs
@@ -6,6 +6,7 @@
 
 mod memory;
 mod new_connections;
+mod one_client;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
--- a/crates/proxy/src/client/open_request_ids.rs
+++ b/crates/proxy/src/client/open_request_ids.rs
@@ -7,14 +7,14 @@
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashSet};
-use std::rc::Rc;
+use std::hash::{BuildHasher, RandomState};
 
 /// The number of ids that may be retained. Requests whose ids would have to be retained are rejected beyond it.
-const MAX_RETAINED_IDS: usize = 10_000;
+const MAX_RETAINED_IDS: usize = 100_000;
 /// How long after a request's deadline its id is retained: clients wait for a response for as long.
 const RETENTION_AFTER_DEADLINE: TimeDelta = TimeDelta::from_millis(500);
 /// The memory that one retained id takes up, in bytes.
-const RETAINED_ID_SIZE: usize = 256;
+const RETAINED_ID_SIZE: usize = 48;
 
 /// Why an id can't be reserved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -27,17 +27,23 @@
     TooManyRetained,
 }
 
+/// A hash that stands for an id. Two ids with the same hash would only keep each other from being used at the same
+/// time.
+type IdHash = u64;
+
 /// An id that is reserved although its request is no longer in flight.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct RetainedId {
     until: Timestamp,
-    id: Rc<str>,
+    hash: IdHash,
 }
 
 /// The ids that clients gave the requests in flight, and the retained ids of earlier requests.
 #[derive(Debug, Default)]
 pub struct OpenRequestIds {
-    ids: RefCell<HashSet<Rc<str>>>,
+    ids: RefCell<HashSet<IdHash>>,
+    /// The randomly keyed hasher, so that clients can't choose ids with the same hash.
+    hasher: RandomState,
     /// The retained ids, the one that expires first on top.
     retained: RefCell<BinaryHeap<Reverse<RetainedId>>>,
     /// The memory of the retained ids.
@@ -66,27 +72,27 @@
         if may_be_retained && self.retained.borrow().len() >= MAX_RETAINED_IDS {
             return Err(ReservationError::TooManyRetained);
         }
-        let id: Rc<str> = id.into();
-        if !self.ids.borrow_mut().insert(id.clone()) {
+        let hash = self.hasher.hash_one(id);
+        if !self.ids.borrow_mut().insert(hash) {
             return Err(ReservationError::InUse);
         }
-        Ok(OpenRequestId { open: self, id, retained_until: Cell::new(None) })
+        Ok(OpenRequestId { open: self, id: id.into(), hash, retained_until: Cell::new(None) })
     }
 
     fn release_expired(&self, now: Timestamp) {
         let mut retained = self.retained.borrow_mut();
-        while let Some(Reverse(RetainedId { until, id })) = retained.peek()
+        while let Some(Reverse(RetainedId { until, hash })) = retained.peek()
             && *until <= now
         {
-            self.ids.borrow_mut().remove(id);
+            self.ids.borrow_mut().remove(hash);
             retained.pop();
         }
         self.reservation.borrow_mut().record(retained.len() * RETAINED_ID_SIZE);
     }
 
-    fn retain(&self, id: Rc<str>, until: Timestamp) {
+    fn retain(&self, hash: IdHash, until: Timestamp) {
         let mut retained = self.retained.borrow_mut();
-        retained.push(Reverse(RetainedId { until, id }));
+        retained.push(Reverse(RetainedId { until, hash }));
         self.reservation.borrow_mut().record(retained.len() * RETAINED_ID_SIZE);
     }
 }
@@ -95,7 +101,8 @@
 #[derive(Debug)]
 pub struct OpenRequestId<'a> {
     open: &'a OpenRequestIds,
-    id: Rc<str>,
+    id: Box<str>,
+    hash: IdHash,
     retained_until: Cell<Option<Timestamp>>,
 }
 
@@ -115,9 +122,9 @@
 impl Drop for OpenRequestId<'_> {
     fn drop(&mut self) {
         match self.retained_until.get() {
-            Some(until) => self.open.retain(self.id.clone(), until),
+            Some(until) => self.open.retain(self.hash, until),
             None => {
-                self.open.ids.borrow_mut().remove(&self.id);
+                self.open.ids.borrow_mut().remove(&self.hash);
             }
         }
     }
