Repeat an unanswered call to discovery beside it instead of giving it up

Cause: the limit of 2.5 s for a watch that misses its keep-alives held for the first bytes of an answer too, so each call was given up before its answer.

Fix: an unanswered call is repeated at the times at which it was before, and goes on; the first to be answered becomes the watch. An answered watch has the limit as before.

--- a/crates/pooler/tests/sockets/reload.rs
+++ b/crates/pooler/tests/sockets/reload.rs
@@ -43,6 +43,39 @@
     assert!(pooler.wait().success());
 }
 
+/// What discovery has to tell takes effect this long after a reload, and with the grace of a drain no more requests
+/// are sent then.
+const RELOAD_LIMIT: Duration = Duration::from_secs(4);
+const DRAIN_GRACE: Duration = Duration::from_millis(250);
+
+#[test]
+fn a_discovery_service_that_answers_late_is_heard() {
+    // Guards against calls that are all given up shortly before their answer, so that a drain is never heard of.
+    for mode in ["push", "ask"] {
+        let (kept, drained) =
+            (FakeServer::answering("s-1", "replica"), FakeServer::answering("s-2", "replica"));
+        let (old, slow) = (FakeDiscovery::new(), FakeDiscovery::slow(Duration::from_secs(3)));
+        let entries = vec![kept.entry("up", "replica"), drained.entry("up", "replica")];
+        let config =
+            |discovery| PoolerConfig::new(discovery, entries.clone()).with("/settings/Discovery", mode);
+        let pooler = PoolerProcess::start(&config(&old));
+        let _old_watch = old.accept_watch();
+        pooler.write_configuration(&config(&slow).to_string());
+        pooler.signal(Signal::Reload);
+        let reloaded_at = Instant::now();
+        let watch = slow.accept_watch();
+        watch.send(delta(42, vec![drained.entry("draining", "replica")]));
+        std::thread::sleep((RELOAD_LIMIT + DRAIN_GRACE).saturating_sub(reloaded_at.elapsed()));
+        let sent = drained.statements().len();
+        let mut client = Client::connect(&pooler);
+        for number in 0..30 {
+            let response = client.query(&read_statement(&number.to_string()));
+            assert_eq!(response.text(), Some("s-1"), "{mode}: {number}: {response:?}");
+        }
+        assert_eq!(drained.statements().len(), sent, "{mode}: a draining endpoint must get no new request");
+    }
+}
+
 #[test]
 fn rapid_reloads_apply_the_last_configuration() {
     let server = FakeServer::answering("s-1", "replica");
--- a/crates/pooler/tests/support/fake_discovery.rs
+++ b/crates/pooler/tests/support/fake_discovery.rs
@@ -41,12 +41,17 @@
 
 impl FakeDiscovery {
     pub fn new() -> Self {
-        Self::with_format(Value::to_string)
+        Self::with_format(Value::to_string, Duration::ZERO)
+    }
+
+    /// A discovery service that takes this long to answer each request.
+    pub fn slow(delay: Duration) -> Self {
+        Self::with_format(Value::to_string, delay)
     }
 
     /// A discovery service whose updates span several lines each, with an empty line after each of them.
     pub fn indented() -> Self {
-        Self::with_format(|update| format!("{update:#}\n"))
+        Self::with_format(|update| format!("{update:#}\n"), Duration::ZERO)
     }
 
     /// A discovery service that calls `respond` with the connection of each request. No watch can be accepted
@@ -64,13 +69,16 @@
         Self { address, watches: channel().1 }
     }
 
-    fn with_format(format: fn(&Value) -> String) -> Self {
+    fn with_format(format: fn(&Value) -> String, delay: Duration) -> Self {
         let (watch_sender, watches) = channel();
         let address = listen(move |socket| {
             let Some(request_line) = read_request(&socket) else { return };
             let (updates, receiver) = channel();
             watch_sender.send(Watch { request_line, updates }).unwrap_or(());
-            std::thread::spawn(move || write_updates(socket, &receiver, format));
+            std::thread::spawn(move || {
+                std::thread::sleep(delay);
+                write_updates(socket, &receiver, format);
+            });
         });
         Self { address, watches }
     }
@@ -101,7 +109,8 @@
 
 /// Writes a chunked HTTP response with these updates, until the watch is ended or dropped.
 fn write_updates(mut socket: TcpStream, updates: &Receiver<Option<Value>>, format: fn(&Value) -> String) {
-    socket.write_all(CHUNKED_RESPONSE_HEAD).unwrap();
+    // The pooler may have given up a request that was answered late.
+    let _ = socket.write_all(CHUNKED_RESPONSE_HEAD);
     while let Ok(Some(update)) = updates.recv() {
         let line = format(&update) + "\n";
         for chunk in [&line[..FIRST_CHUNK_BYTES], &line[FIRST_CHUNK_BYTES..]] {
--- a/crates/proxy/src/discovery/mod.rs
+++ b/crates/proxy/src/discovery/mod.rs
@@ -6,4 +6,6 @@
 pub mod endpoint_list;
 pub mod http;
 pub mod json_stream;
+pub mod repeated_call;
 pub mod watch;
+mod watch_connection;
--- /dev/null
+++ b/crates/proxy/src/discovery/watch_connection.rs
@@ -0,0 +1,141 @@
+//! The HTTP connection of one watch on discovery.
+
+use super::backoff::WatchEnd;
+use super::http::{self, HttpError};
+use super::json_stream::{JsonStream, JsonStreamError};
+use crate::buffer::{ReadBuffer, TcpConnection, write_all};
+use crate::memory_budget::{MemoryUse, Reservation};
+use crate::resource_exhaustion::is_resource_exhaustion;
+use async_io::{Async, Timer};
+use futures_lite::future::or;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// The time limit of each read from a watch that has been answered. Discovery sends a keep-alive every 2 s, so a
+/// watch that misses one is closed and reopened. A change takes effect 6 s after it would have been reported,
+/// whether or not it arrived; this limit leaves time for one more call that gets no response.
+pub(super) const IO_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// The error that ended a watch.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum WatchError {
+    /// The connection failed, or the time limit of a read has passed.
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    /// The response is not what a watch expects.
+    #[error("{0}")]
+    Http(#[from] HttpError),
+    /// An endpoint list can't be decoded.
+    #[error("invalid endpoint list: {0}")]
+    Json(#[from] serde_json::Error),
+    /// The body is not a stream of endpoint lists.
+    #[error("{0}")]
+    Stream(#[from] JsonStreamError),
+}
+
+impl WatchError {
+    /// How the error ended the watch.
+    pub(super) fn watch_end(&self) -> WatchEnd {
+        match self {
+            Self::Http(HttpError::Status(_)) => WatchEnd::Rejected,
+            Self::Io(error) if is_resource_exhaustion(error) => WatchEnd::NotSent,
+            _ => WatchEnd::Lost,
+        }
+    }
+
+    /// Whether the error is logged: invalid responses and a lack of memory are, lost connections are not.
+    pub(super) fn is_logged(&self) -> bool {
+        !matches!(self, Self::Io(error) if error.kind() != io::ErrorKind::OutOfMemory)
+    }
+}
+
+/// The result of an attempt to read the next part of a response's body.
+pub(super) enum BodyPart {
+    /// A part was appended to the stream.
+    Appended,
+    /// More bytes have to be read first.
+    Incomplete,
+    /// The body has ended.
+    End,
+}
+
+/// The HTTP connection of a watch that discovery has answered.
+pub(super) struct WatchConnection {
+    stream: TcpConnection,
+    buffer: ReadBuffer,
+    is_chunked: bool,
+}
+
+impl WatchConnection {
+    /// Connects to discovery, requests the changes since `generation`, and waits for the first bytes of the
+    /// response's body, for as long as discovery takes.
+    ///
+    /// # Errors
+    ///
+    /// When the connection fails or is closed before that, or the response is not a successful one.
+    pub(super) async fn open(
+        address: SocketAddr,
+        generation: u64,
+        reservation: Reservation,
+    ) -> Result<Self, WatchError> {
+        let stream = TcpConnection::new(Async::<TcpStream>::connect(address).await?);
+        let request = format!(
+            "GET /discovery/hosts?follow=1&since={generation} HTTP/1.1\r\nHost: {address}\r\n\
+             Accept: application/json\r\n\r\n"
+        );
+        write_all(&stream, &[request.as_bytes()]).await?;
+        let mut buffer = ReadBuffer::new(reservation, MemoryUse::EndpointList);
+        let head = loop {
+            match http::parse_head(buffer.data())? {
+                Some(head) if buffer.data().len() > head.size => break head,
+                _ => {}
+            }
+            if buffer.fill(&stream).await? == 0 {
+                return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
+            }
+        };
+        buffer.consume(head.size);
+        Ok(Self { stream, buffer, is_chunked: head.chunked })
+    }
+
+    /// Moves the next part of the body from the read buffer to `stream`.
+    ///
+    /// # Errors
+    ///
+    /// When the body is malformed.
+    pub(super) fn move_body_part(&mut self, stream: &mut JsonStream) -> Result<BodyPart, HttpError> {
+        let data = self.buffer.data();
+        let (part, size) = match self.is_chunked {
+            true => match http::parse_chunk(data)? {
+                Some(([], _)) => return Ok(BodyPart::End),
+                Some(chunk) => chunk,
+                None => return Ok(BodyPart::Incomplete),
+            },
+            false if data.is_empty() => return Ok(BodyPart::Incomplete),
+            false => (data, data.len()),
+        };
+        stream.push(part);
+        self.buffer.consume(size);
+        Ok(BodyPart::Appended)
+    }
+
+    /// Reads once and returns the number of bytes read, which is 0 at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// When reading fails, or takes longer than [`IO_TIMEOUT`].
+    pub(super) async fn fill(&mut self) -> io::Result<usize> {
+        self.buffer.shrink_if_empty();
+        with_io_timeout(self.buffer.fill(&self.stream)).await
+    }
+}
+
+/// Returns the result of `work`, or an error if it takes longer than the I/O timeout.
+async fn with_io_timeout<T>(work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+    let expired = async {
+        Timer::after(IO_TIMEOUT).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    or(work, expired).await
+}
