Test the incident's picture at the least memory with the most descriptors

The earlier tests of the class ran at 20 MB and 384 descriptors only.

The test of incomplete commands now plays both, 330 clients of seven kinds here.

--- a/crates/pooler/tests/overload/memory.rs
+++ b/crates/pooler/tests/overload/memory.rs
@@ -9,11 +9,18 @@
 use std::sync::{Arc, Barrier};
 use std::time::{Duration, Instant};
 
-/// The memory and the descriptors of the pooler.
-const MEMORY_MIB: u64 = 20;
-const SOCKETS: usize = 384;
-/// The number of bad clients.
-const BAD_CLIENTS: usize = 190;
+/// The limits of a pooler, and the bad clients that it meets.
+#[derive(Clone, Copy)]
+struct Setup {
+    memory_mib: u64,
+    sockets: usize,
+    bad_clients: usize,
+}
+
+/// Little memory for the descriptors.
+const LITTLE_MEMORY: Setup = Setup { memory_mib: 20, sockets: 384, bad_clients: 190 };
+/// The least memory and the most descriptors that the operators' pages name.
+const LEAST_MEMORY_MOST_SOCKETS: Setup = Setup { memory_mib: 32, sockets: 1_024, bad_clients: 330 };
 /// The bytes that are missing of a command left incomplete.
 const MISSING: usize = 20;
 /// The time that a bad client gives each of its whole requests. With the time limit of a command it is below the
@@ -32,12 +39,13 @@
 
 /// Looks at the memory that a process has allocated until it is dropped.
 struct MemoryMonitor {
+    limit_kib: u64,
     stop: Arc<AtomicBool>,
     sampler: Option<std::thread::JoinHandle<u64>>,
 }
 
 impl MemoryMonitor {
-    fn start(pooler: &PoolerProcess) -> Self {
+    fn start(pooler: &PoolerProcess, setup: Setup) -> Self {
         let (process, stop) = (pooler.id(), Arc::new(AtomicBool::new(false)));
         let stopped = stop.clone();
         let sampler = std::thread::spawn(move || {
@@ -48,7 +56,7 @@
             }
             peak
         });
-        Self { stop, sampler: Some(sampler) }
+        Self { limit_kib: setup.memory_mib * KIB_PER_MIB, stop, sampler: Some(sampler) }
     }
 
     /// Asserts that the process has stayed below its limit.
@@ -56,13 +64,14 @@
         self.stop.store(true, Ordering::Relaxed);
         let peak = self.sampler.take().unwrap().join().unwrap();
         assert!(peak > 0, "{what}: the memory of the process is unknown");
-        assert!(peak <= MEMORY_MIB * KIB_PER_MIB, "{what}: the process allocated {peak} KiB");
+        println!("{what}: {peak} KiB of {} at most", self.limit_kib);
+        assert!(peak <= self.limit_kib, "{what}: the process allocated {peak} KiB");
     }
 }
 
-fn start_pooler(entries: Vec<serde_json::Value>, discovery: &FakeDiscovery) -> PoolerProcess {
-    let config = PoolerConfig::new(discovery, entries).sockets(SOCKETS).with("/limits/memory_mb", MEMORY_MIB);
-    PoolerProcess::start(&config)
+fn start_pooler(setup: Setup, entries: Vec<serde_json::Value>, discovery: &FakeDiscovery) -> PoolerProcess {
+    let config = PoolerConfig::new(discovery, entries).sockets(setup.sockets);
+    PoolerProcess::start(&config.with("/limits/memory_mb", setup.memory_mib))
 }
 
 /// A write of the largest value: 64 KiB, as hexadecimal digits.
@@ -203,20 +212,18 @@
     }
 }
 
-#[test]
-fn incomplete_commands_of_many_clients_stay_below_the_memory_limit() {
-    // Guards against hundreds of clients that stop in the middle of a command, each of which keeps a buffer of
-    // up to twice the largest command, and the process being killed for its memory.
-    let _alone = run_alone();
+/// Plays each kind of bad client, and asserts that the process stays below its limit, that the bad clients are
+/// turned away in time, and that another client is served.
+fn assert_incomplete_commands_stay_below_the_limit(setup: Setup) {
     let server = FakeServer::answering("s-1", "replica");
     for behavior in &BAD_BEHAVIORS {
         let discovery = FakeDiscovery::new();
-        let pooler = start_pooler(vec![server.entry("up", "replica")], &discovery);
-        let monitor = MemoryMonitor::start(&pooler);
-        let (address, together) = (pooler.address, &Barrier::new(BAD_CLIENTS + 1));
+        let pooler = start_pooler(setup, vec![server.entry("up", "replica")], &discovery);
+        let monitor = MemoryMonitor::start(&pooler, setup);
+        let (address, together) = (pooler.address, &Barrier::new(setup.bad_clients + 1));
         let slowest = std::thread::scope(|scope| {
             let play = |client| scope.spawn(move || behavior.play(client, address, together));
-            let clients: Vec<_> = (0..BAD_CLIENTS).map(play).collect();
+            let clients: Vec<_> = (0..setup.bad_clients).map(play).collect();
             together.wait();
             assert_served_until(
                 &pooler,
@@ -235,6 +242,21 @@
     }
 }
 
+#[test]
+fn incomplete_commands_of_many_clients_stay_below_the_memory_limit() {
+    // Guards against hundreds of clients that stop in the middle of a command, each of which keeps a buffer of
+    // up to twice the largest command, and the process being killed for its memory.
+    let _alone = run_alone();
+    assert_incomplete_commands_stay_below_the_limit(LITTLE_MEMORY);
+}
+
+#[test]
+fn incomplete_commands_stay_below_the_least_memory_with_the_most_descriptors() {
+    // Guards against the allowances of a thousand descriptors and the budget adding up to more than the memory.
+    let _alone = run_alone();
+    assert_incomplete_commands_stay_below_the_limit(LEAST_MEMORY_MOST_SOCKETS);
+}
+
 #[test]
 fn unread_responses_of_many_clients_stay_below_the_memory_limit() {
     // Guards against hundreds of clients that ask for large values, again and again, and read none of them.
@@ -246,10 +268,10 @@
         AfterStatement::KeepOpen
     });
     let discovery = FakeDiscovery::new();
-    let pooler = start_pooler(vec![server.entry("up", "replica")], &discovery);
-    let monitor = MemoryMonitor::start(&pooler);
+    let pooler = start_pooler(LITTLE_MEMORY, vec![server.entry("up", "replica")], &discovery);
+    let monitor = MemoryMonitor::start(&pooler, LITTLE_MEMORY);
     let address = pooler.address;
-    let clients: Vec<_> = (0..BAD_CLIENTS)
+    let clients: Vec<_> = (0..LITTLE_MEMORY.bad_clients)
         .map(|client| {
             std::thread::spawn(move || {
                 let requests = (0..1_500).map(|number| read_statement(&format!("unread-{client}-{number}")));
@@ -291,9 +313,9 @@
         let _ = socket.write_all(format!("{:x}\r\n{rest}\r\n", rest.len()).as_bytes());
         std::thread::sleep(STEP_TIMEOUT);
     });
-    let pooler =
-        start_pooler(servers.iter().map(|server| server.entry("up", "replica")).collect(), &discovery);
-    let monitor = MemoryMonitor::start(&pooler);
+    let entries = servers.iter().map(|server| server.entry("up", "replica")).collect();
+    let pooler = start_pooler(LITTLE_MEMORY, entries, &discovery);
+    let monitor = MemoryMonitor::start(&pooler, LITTLE_MEMORY);
     let waiting: Vec<Client> = (0..110)
         .map(|client| {
             let mut waiting = Client::connect(&pooler);
