Reserve the memory of an endpoint list before it is taken

Cause: a part of a list was appended to its stream, whose vector doubled, before its memory was reserved; each list was copied before it was decoded, and three times its text stood for its decoded form, though an entry of 30 bytes takes up several hundred.

Change: the stream grows by what it needs, after that has been reserved; a list is decoded where it is, straight into its entries; their number and size are counted.

Not a fault that was seen by itself.

--- a/crates/proxy/src/assembly.rs
+++ b/crates/proxy/src/assembly.rs
@@ -61,7 +61,7 @@
         let watcher = components.watcher(config);
         // The configured endpoint list is applied before discovery reports: the pooler serves from it while
         // discovery is down.
-        watcher.apply(&config.known_endpoints);
+        watcher.apply(config.known_endpoints.clone());
         let listener = retry_transient(|| accept::listen(config.listen))
             .map_err(|error| StartError::Listen(config.listen, error))?;
         let listening = listener.get_ref().local_addr().unwrap_or(config.listen);
--- a/crates/proxy/src/discovery/endpoint_list.rs
+++ b/crates/proxy/src/discovery/endpoint_list.rs
@@ -2,7 +2,7 @@
 
 use pooler_routing::membership::{EndpointClaim, RecordVersion, WatchEvent};
 use pooler_routing::settings::duration_from_millis;
-use pooler_routing::{EndpointId, GroupId, Lifecycle, Timestamp};
+use pooler_routing::{EndpointEntry, EndpointId, GroupId, Lifecycle, Timestamp};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,6 +13,20 @@
 /// The platform's name of the role that accepts writes.
 const ROLE_PRIMARY: &str = "master";
 
+/// The memory that decoding and merging one endpoint takes at most, without its names, in bytes: the entry, in a
+/// vector that doubles, its claim, and two copies of the change that results.
+const DECODED_ENDPOINT_SIZE: usize =
+    2 * size_of::<ListedEndpoint>() + size_of::<EndpointClaim>() + 2 * size_of::<EndpointEntry>();
+
+/// An upper bound of the memory that decoding and merging a list takes, in bytes, from its text.
+#[must_use]
+pub fn decoding_size(text: &[u8]) -> usize {
+    // Each entry is an object, and the list another one.
+    let objects = text.iter().filter(|byte| **byte == b'{').count();
+    // The text of each name is copied up to three times.
+    3 * text.len() + objects * DECODED_ENDPOINT_SIZE
+}
+
 /// A list of all endpoints, or of the endpoints that changed since an earlier list.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(from = "ListDocument")]
@@ -26,7 +40,8 @@
 }
 
 /// One endpoint of an endpoint list.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize)]
+#[serde(from = "InstanceDocument")]
 pub struct ListedEndpoint {
     /// The endpoint's id, which is the same at every pooler and after a restart.
     pub id: EndpointId,
@@ -49,8 +64,8 @@
     /// list; since the platform's messages arrive in order, it becomes the version of all claims in the
     /// event.
     #[must_use]
-    pub fn watch_event(&self, message_number: i64) -> WatchEvent {
-        let claims = self.endpoints.iter().map(|endpoint| endpoint.claim(message_number)).collect();
+    pub fn watch_event(self, message_number: i64) -> WatchEvent {
+        let claims = self.endpoints.into_iter().map(|endpoint| endpoint.claim(message_number)).collect();
         if self.is_snapshot {
             WatchEvent::Snapshot { claims, version: message_number }
         } else {
@@ -60,15 +75,15 @@
 }
 
 impl ListedEndpoint {
-    fn claim(&self, message_number: i64) -> EndpointClaim {
+    fn claim(self, message_number: i64) -> EndpointClaim {
         EndpointClaim {
-            endpoint: self.id.clone(),
+            endpoint: self.id,
             address: self.address,
             group: self.group,
             lifecycle: self.lifecycle,
             primary: self.primary,
             started_at: self.started_at,
-            zone: self.zone.clone(),
+            zone: self.zone,
             version: RecordVersion { change_stamp: message_number, ..RecordVersion::default() },
         }
     }
@@ -82,7 +97,7 @@
     #[serde(default)]
     reset: bool,
     #[serde(default)]
-    instances: Vec<InstanceDocument>,
+    instances: Vec<ListedEndpoint>,
 }
 
 /// The JSON representation of an endpoint.
@@ -106,11 +121,7 @@
 
 impl From<ListDocument> for EndpointList {
     fn from(document: ListDocument) -> Self {
-        Self {
-            generation: document.generation,
-            is_snapshot: document.reset,
-            endpoints: document.instances.into_iter().map(ListedEndpoint::from).collect(),
-        }
+        Self { generation: document.generation, is_snapshot: document.reset, endpoints: document.instances }
     }
 }
 
--- a/crates/proxy/src/discovery/json_stream.rs
+++ b/crates/proxy/src/discovery/json_stream.rs
@@ -35,17 +35,27 @@
 }
 
 impl JsonStream {
-    /// The number of bytes that the stream holds.
+    /// The memory that the stream has allocated, in bytes.
     #[must_use]
-    pub fn buffered(&self) -> usize {
-        self.buffer.len()
+    pub fn allocated(&self) -> usize {
+        self.buffer.capacity()
+    }
+
+    /// The memory that the stream will have allocated, in bytes, once `count` more bytes have been appended.
+    #[must_use]
+    pub fn allocation_for(&self, count: usize) -> usize {
+        let size = self.buffer.len() - self.start + count;
+        let capacity = self.buffer.capacity();
+        if size <= capacity { capacity } else { size.max(capacity + capacity / 4) }
     }
 
     /// Appends the next bytes of the stream.
     pub fn push(&mut self, bytes: &[u8]) {
+        let allocation = self.allocation_for(bytes.len());
         self.buffer.drain(..self.start);
         self.scanned -= self.start;
         self.start = 0;
+        self.buffer.reserve_exact(allocation - self.buffer.len());
         self.buffer.extend_from_slice(bytes);
     }
 
@@ -55,7 +65,7 @@
     /// # Errors
     ///
     /// Fails if the stream is not a valid stream of JSON objects.
-    pub fn next_object(&mut self) -> Result<Option<Vec<u8>>, JsonStreamError> {
+    pub fn next_object(&mut self) -> Result<Option<&[u8]>, JsonStreamError> {
         while let Some(&byte) = self.buffer.get(self.scanned) {
             self.scanned += 1;
             self.check_for_empty_line(byte)?;
@@ -105,9 +115,9 @@
 
     /// Returns the scanned bytes since the last object, which end with a complete object. They stay in the
     /// buffer until more bytes are pushed, so that the bytes after them need not be moved for each object.
-    fn take_object(&mut self) -> Vec<u8> {
-        let object = self.buffer[self.start..self.scanned].to_vec();
+    fn take_object(&mut self) -> &[u8] {
+        let object = self.start..self.scanned;
         self.start = self.scanned;
-        object
+        &self.buffer[object]
     }
 }
--- a/crates/proxy/src/discovery/watch.rs
+++ b/crates/proxy/src/discovery/watch.rs
@@ -3,7 +3,7 @@
 use super::address::DiscoveryAddress;
 use super::backoff::{Backoff, WatchEnd};
 use super::endpoint_directory::{EndpointUpdates, PLATFORM};
-use super::endpoint_list::EndpointList;
+use super::endpoint_list::{EndpointList, decoding_size};
 use super::json_stream::JsonStream;
 use super::repeated_call::first_success;
 use super::watch_connection::{BodyPart, IO_TIMEOUT, WatchConnection, WatchError};
@@ -16,9 +16,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// The memory that decoding a list takes, as a multiple of the size of its text.
-const DECODED_LIST_FACTOR: usize = 3;
-
 /// Watches the platform's endpoint list.
 pub struct Watcher {
     address: Rc<DiscoveryAddress>,
@@ -49,7 +46,7 @@
     }
 
     /// Applies an endpoint list to the directory and the router.
-    pub fn apply(&self, list: &EndpointList) {
+    pub fn apply(&self, list: EndpointList) {
         self.generation.set(list.generation);
         let message_number = self.last_message_number.get() + 1;
         self.last_message_number.set(message_number);
@@ -104,8 +101,9 @@
     async fn apply_lists(&self, stream: &mut JsonStream) -> Result<(), WatchError> {
         let mut decoding = Reservation::new(self.memory.clone());
         while let Some(object) = stream.next_object()? {
-            reserve(&mut decoding, object.len() * DECODED_LIST_FACTOR).await?;
-            self.apply(&serde_json::from_slice(&object)?);
+            reserve(&mut decoding, decoding_size(object)).await?;
+            self.apply(serde_json::from_slice(object)?);
+            decoding.record(0);
             // One chunk may hold thousands of lists.
             yield_now().await;
         }
@@ -130,16 +128,22 @@
         let mut stream = JsonStream::default();
         let mut buffered = Reservation::new(self.memory.clone());
         loop {
-            match connection.move_body_part(&mut stream)? {
-                BodyPart::Appended => {
-                    reserve(&mut buffered, stream.buffered()).await?;
+            match connection.next_body_part()? {
+                BodyPart::Bytes { bytes, size } => {
+                    reserve(&mut buffered, stream.allocation_for(bytes.len())).await?;
+                    stream.push(bytes);
+                    connection.consume(size);
                     self.apply_lists(&mut stream).await?;
-                    buffered.record(stream.buffered());
+                    buffered.record(stream.allocated());
                     // The buffer may hold thousands of chunks.
                     yield_now().await;
+                    continue;
                 }
-                BodyPart::Incomplete if connection.fill().await? > 0 => {}
-                BodyPart::Incomplete | BodyPart::End => return Ok(()),
+                BodyPart::Incomplete => {}
+                BodyPart::End => return Ok(()),
+            }
+            if connection.fill().await? == 0 {
+                return Ok(());
             }
         }
     }
--- a/crates/proxy/src/discovery/watch_connection.rs
+++ b/crates/proxy/src/discovery/watch_connection.rs
@@ -2,7 +2,7 @@
 
 use super::backoff::WatchEnd;
 use super::http::{self, HttpError};
-use super::json_stream::{JsonStream, JsonStreamError};
+use super::json_stream::JsonStreamError;
 use crate::buffer::{ReadBuffer, TcpConnection, write_all};
 use crate::memory_budget::{MemoryUse, Reservation};
 use crate::resource_exhaustion::is_resource_exhaustion;
@@ -50,10 +50,10 @@
     }
 }
 
-/// The result of an attempt to read the next part of a response's body.
-pub(super) enum BodyPart {
-    /// A part was appended to the stream.
-    Appended,
+/// The next part of a response's body.
+pub(super) enum BodyPart<'a> {
+    /// Bytes of the body, and the size of what is to be consumed from the connection for them.
+    Bytes { bytes: &'a [u8], size: usize },
     /// More bytes have to be read first.
     Incomplete,
     /// The body has ended.
@@ -99,14 +99,14 @@
         Ok(Self { stream, buffer, is_chunked: head.chunked })
     }
 
-    /// Moves the next part of the body from the read buffer to `stream`.
+    /// The next part of the body that has been read completely.
     ///
     /// # Errors
     ///
     /// When the body is malformed.
-    pub(super) fn move_body_part(&mut self, stream: &mut JsonStream) -> Result<BodyPart, HttpError> {
+    pub(super) fn next_body_part(&self) -> Result<BodyPart<'_>, HttpError> {
         let data = self.buffer.data();
-        let (part, size) = match self.is_chunked {
+        let (bytes, size) = match self.is_chunked {
             true => match http::parse_chunk(data)? {
                 Some(([], _)) => return Ok(BodyPart::End),
                 Some(chunk) => chunk,
@@ -115,9 +115,12 @@
             false if data.is_empty() => return Ok(BodyPart::Incomplete),
             false => (data, data.len()),
         };
-        stream.push(part);
+        Ok(BodyPart::Bytes { bytes, size })
+    }
+
+    /// Consumes the first `size` bytes that have been read.
+    pub(super) fn consume(&mut self, size: usize) {
         self.buffer.consume(size);
-        Ok(BodyPart::Appended)
     }
 
     /// Reads once and returns the number of bytes read, which is 0 at the end of the stream.
--- a/crates/proxy/tests/config.rs
+++ b/crates/proxy/tests/config.rs
@@ -117,7 +117,7 @@
         {"instanceId": "s-3", "lifecycle": "resting"}]}))
     .unwrap();
     assert_eq!(list.generation, 12);
-    let WatchEvent::Delta(claims) = list.watch_event(5) else { panic!("{list:?}") };
+    let WatchEvent::Delta(claims) = list.clone().watch_event(5) else { panic!("{list:?}") };
     assert!(claims.iter().all(|claim| claim.version.change_stamp == 5));
     let [first, second, third] = claims.as_slice() else { panic!("{claims:?}") };
     assert_eq!(&*first.endpoint.0, "s-1");
--- a/crates/proxy/tests/discovery.rs
+++ b/crates/proxy/tests/discovery.rs
@@ -72,7 +72,7 @@
     for piece in bytes.chunks(piece_size) {
         stream.push(piece);
         while let Some(object) = stream.next_object()? {
-            found.push(String::from_utf8(object).unwrap().trim().to_owned());
+            found.push(String::from_utf8(object.to_vec()).unwrap().trim().to_owned());
         }
     }
     Ok(found)
@@ -123,7 +123,7 @@
     stream.push(&b"{}".repeat(OBJECTS));
     let started = Instant::now();
     for number in 0..OBJECTS {
-        assert_eq!(stream.next_object(), Ok(Some(b"{}".to_vec())), "object {number}");
+        assert_eq!(stream.next_object(), Ok(Some(&b"{}"[..])), "object {number}");
     }
     assert_eq!(stream.next_object(), Ok(None));
     assert!(started.elapsed() < CHANGE_APPLIED_WITHIN, "{:?}", started.elapsed());
