Discard an evicted endpoint's state once its attempts have ended

Cause: the router was told once that an endpoint's record had been evicted. If an attempt was in flight there, its state stayed for good.

Change: such endpoints are remembered, and discarded by a later eviction, unless they are listed again. The states are boxed, as half of a map's slots are free.

--- a/crates/routing/src/router/endpoint_updates.rs
+++ b/crates/routing/src/router/endpoint_updates.rs
@@ -18,7 +18,7 @@
             }
             EndpointUpdate::Delta(entries) => self.update_endpoints(now, &entries),
             EndpointUpdate::PollFailed => self.timers.retry_poll(now),
-            EndpointUpdate::Evicted(endpoints) => self.endpoints.evict(&endpoints),
+            EndpointUpdate::Evicted(endpoints) => self.endpoints.evict(endpoints),
         }
     }
 
--- a/crates/routing/src/router/endpoints.rs
+++ b/crates/routing/src/router/endpoints.rs
@@ -37,24 +37,27 @@
 /// All endpoints and groups. Each identifier in a group's set of endpoints has an entry in `endpoints`.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Endpoints {
-    endpoints: BTreeMap<EndpointId, Endpoint>,
+    /// Boxed, since half of the slots in the map's nodes may be free.
+    endpoints: BTreeMap<EndpointId, Box<Endpoint>>,
     groups: BTreeMap<GroupId, Group>,
     /// The number of endpoints whose lifecycle state is active.
     active_count: usize,
+    /// The endpoints whose state is to be discarded once their attempts have ended.
+    evicted: BTreeSet<EndpointId>,
 }
 
 impl Endpoints {
     pub(super) fn get(&self, id: &EndpointId) -> Option<&Endpoint> {
-        self.endpoints.get(id)
+        self.endpoints.get(id).map(Box::as_ref)
     }
 
     pub(super) fn get_mut(&mut self, id: &EndpointId) -> Option<&mut Endpoint> {
-        self.endpoints.get_mut(id)
+        self.endpoints.get_mut(id).map(Box::as_mut)
     }
 
     /// All endpoints, in the order of their identifiers.
     pub(super) fn iter(&self) -> impl Iterator<Item = &Endpoint> {
-        self.endpoints.values()
+        self.endpoints.values().map(Box::as_ref)
     }
 
     pub(super) fn group(&self, id: GroupId) -> Option<&Group> {
@@ -72,12 +75,12 @@
 
     /// The endpoints of a group, in the order of their identifiers.
     pub(super) fn in_group<'a>(&'a self, group: &'a Group) -> impl Iterator<Item = &'a Endpoint> + Clone {
-        group.endpoints.iter().map(|id| &self.endpoints[id])
+        group.endpoints.iter().map(|id| self.endpoints[id].as_ref())
     }
 
     /// The believed primary of a group.
     pub(super) fn believed_primary(&self, group: GroupId) -> Option<&Endpoint> {
-        self.groups.get(&group)?.primary.believed().map(|id| &self.endpoints[id])
+        self.groups.get(&group)?.primary.believed().map(|id| self.endpoints[id].as_ref())
     }
 
     /// The number of endpoints whose lifecycle state is active, over all groups.
@@ -88,8 +91,9 @@
     /// Adds or updates the endpoint of an entry in the endpoint list. `initial_limit` is the concurrency
     /// limit of an endpoint that was not known before.
     pub(super) fn upsert(&mut self, entry: &EndpointEntry, initial_limit: ConcurrencyLimit) -> &mut Endpoint {
+        self.evicted.remove(&entry.endpoint);
         self.groups.entry(entry.group).or_default().endpoints.insert(entry.endpoint.clone());
-        let new = || Endpoint::new(entry.endpoint.clone(), entry.group, initial_limit);
+        let new = || Box::new(Endpoint::new(entry.endpoint.clone(), entry.group, initial_limit));
         let endpoint = self.endpoints.entry(entry.endpoint.clone()).or_insert_with(new);
         let was_active = endpoint.is_active();
         let previous_group = endpoint.update(entry);
@@ -111,19 +115,25 @@
         }
     }
 
-    /// Discards the state of the endpoints among `ids` that are not active and have no attempt in flight, and
-    /// of groups that are no longer in use.
-    pub(super) fn evict(&mut self, ids: &[EndpointId]) {
-        for id in ids {
-            let Some(endpoint) = self.endpoints.get(id).filter(|endpoint| endpoint.is_evictable()) else {
-                continue;
+    /// Discards the state of these endpoints, and of groups that are no longer in use. That of an endpoint with
+    /// attempts in flight is discarded by a later call.
+    pub(super) fn evict(&mut self, ids: impl IntoIterator<Item = EndpointId>) {
+        self.evicted.extend(ids);
+        let Self { endpoints, groups, evicted, .. } = self;
+        evicted.retain(|id| {
+            let Some(endpoint) = endpoints.get(id).filter(|endpoint| !endpoint.is_active()) else {
+                return false;
             };
-            if let Some(group) = self.groups.get_mut(&endpoint.group()) {
+            if !endpoint.is_evictable() {
+                return true;
+            }
+            if let Some(group) = groups.get_mut(&endpoint.group()) {
                 group.remove_endpoint(id);
             }
-            self.endpoints.remove(id);
-        }
-        self.groups.retain(|_, group| group.is_in_use());
+            endpoints.remove(id);
+            false
+        });
+        groups.retain(|_, group| group.is_in_use());
     }
 
     /// Removes a group that has neither endpoints nor queued requests.
@@ -159,7 +169,7 @@
         soft_removal: bool,
     ) -> Vec<EndpointId> {
         let Some(group) = self.groups.get_mut(&group) else { return Vec::new() };
-        let endpoints = group.endpoints.iter().map(|id| &self.endpoints[id]);
+        let endpoints = group.endpoints.iter().map(|id| self.endpoints[id].as_ref());
         let usable = endpoints.filter(|endpoint| endpoint.accepts_new_work(soft_removal));
         let targets: Vec<_> = usable.map(Endpoint::search_target).collect();
         group.primary.continue_search(now, router_count, &targets)
--- a/crates/routing/tests/router/endpoints.rs
+++ b/crates/routing/tests/router/endpoints.rs
@@ -17,6 +17,29 @@
     host.complete_attempt_as(id, 0, 1, AttemptOutcome::Ok, Role::Primary);
 }
 
+#[test]
+fn an_endpoint_that_is_evicted_during_an_attempt_leaves_no_state_after_it() {
+    // Guards against endpoints that hang, are replaced and stay in the router for good.
+    let mut host = TestHost::new(settings(), 1);
+    let (id, actions) = host.request(EVENTUAL_READ);
+    assert_eq!(sent_to(&actions), [endpoint_id(1)]);
+    host.set_lifecycle(1, Lifecycle::Removed);
+    host.report(Event::EndpointUpdate(EndpointUpdate::Evicted(vec![endpoint_id(1)])));
+    host.complete_attempt(id, 0, 1, AttemptOutcome::Ok);
+    host.report(Event::EndpointUpdate(EndpointUpdate::Evicted(vec![endpoint_id(9)])));
+    let state = format!("{:?}", host.router);
+    assert!(!state.contains(&format!("{:?}", endpoint_id(1))), "{state}");
+    // An endpoint that has returned meanwhile stays.
+    let mut host = TestHost::new(settings(), 1);
+    let (id, _) = host.request(EVENTUAL_READ);
+    host.set_lifecycle(1, Lifecycle::Removed);
+    host.report(Event::EndpointUpdate(EndpointUpdate::Evicted(vec![endpoint_id(1)])));
+    host.set_lifecycle(1, Lifecycle::Draining);
+    host.complete_attempt(id, 0, 1, AttemptOutcome::Ok);
+    host.report(Event::EndpointUpdate(EndpointUpdate::Evicted(vec![endpoint_id(9)])));
+    assert!(format!("{:?}", host.router).contains(&format!("{:?}", endpoint_id(1))));
+}
+
 #[test]
 fn a_failed_poll_is_repeated() {
     let polling = Settings { discovery: Discovery::Poll, ..settings() };
