Bound the memory of the known endpoints

Cause: no owner counted the endpoints. They were bounded by number alone, 100,000 in all and 16,384 removed ones, each with names of any length; the membership table and the router take up 0.9 to 1.3 kB for each.

Fix: the membership counts its records with their names, up to a sixth of the memory limit. Removed endpoints are evicted for new ones; without any, new ones are refused, counted (refused_endpoints) and logged once. Known endpoints' drains always apply.

--- a/crates/pooler/tests/overload/main.rs
+++ b/crates/pooler/tests/overload/main.rs
@@ -4,7 +4,9 @@
 #[path = "../support/mod.rs"]
 mod support;
 
+mod endpoint_lists;
 mod memory;
+mod memory_monitor;
 mod new_connections;
 mod one_client;
 
--- a/crates/pooler/tests/overload/memory.rs
+++ b/crates/pooler/tests/overload/memory.rs
@@ -1,26 +1,14 @@
 //! The memory limit: whatever mix of peers connects, and however they stop, the process stays below it, bad
 //! clients are turned away in time, and the others are served.
 
+use crate::memory_monitor::{LEAST_MEMORY_MOST_SOCKETS, LITTLE_MEMORY, MemoryMonitor, Setup, start_pooler};
 use crate::run_alone;
 use crate::support::*;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Barrier};
+use std::sync::Barrier;
 use std::time::{Duration, Instant};
 
-/// The limits of a pooler, and the bad clients that it meets.
-#[derive(Clone, Copy)]
-struct Setup {
-    memory_mib: u64,
-    sockets: usize,
-    bad_clients: usize,
-}
-
-/// Little memory for the descriptors.
-const LITTLE_MEMORY: Setup = Setup { memory_mib: 20, sockets: 384, bad_clients: 190 };
-/// The least memory and the most descriptors that the operators' pages name.
-const LEAST_MEMORY_MOST_SOCKETS: Setup = Setup { memory_mib: 32, sockets: 1_024, bad_clients: 330 };
 /// The bytes that are missing of a command left incomplete.
 const MISSING: usize = 20;
 /// The time that a bad client gives each of its whole requests. With the time limit of a command it is below the
@@ -33,46 +21,6 @@
 const LATENESS_ALLOWED: Duration = Duration::from_millis(500);
 /// The pause between two requests of the other client.
 const PAUSE: Duration = Duration::from_millis(100);
-/// The interval at which the memory of the process is looked at.
-const SAMPLE_INTERVAL: Duration = Duration::from_millis(5);
-const KIB_PER_MIB: u64 = 1024;
-
-/// Looks at the memory that a process has allocated until it is dropped.
-struct MemoryMonitor {
-    limit_kib: u64,
-    stop: Arc<AtomicBool>,
-    sampler: Option<std::thread::JoinHandle<u64>>,
-}
-
-impl MemoryMonitor {
-    fn start(pooler: &PoolerProcess, setup: Setup) -> Self {
-        let (process, stop) = (pooler.id(), Arc::new(AtomicBool::new(false)));
-        let stopped = stop.clone();
-        let sampler = std::thread::spawn(move || {
-            let mut peak = 0;
-            while !stopped.load(Ordering::Relaxed) {
-                peak = peak.max(allocated_kib(process));
-                std::thread::sleep(SAMPLE_INTERVAL);
-            }
-            peak
-        });
-        Self { limit_kib: setup.memory_mib * KIB_PER_MIB, stop, sampler: Some(sampler) }
-    }
-
-    /// Asserts that the process has stayed below its limit.
-    fn assert_below_limit(mut self, what: &str) {
-        self.stop.store(true, Ordering::Relaxed);
-        let peak = self.sampler.take().unwrap().join().unwrap();
-        assert!(peak > 0, "{what}: the memory of the process is unknown");
-        println!("{what}: {peak} KiB of {} at most", self.limit_kib);
-        assert!(peak <= self.limit_kib, "{what}: the process allocated {peak} KiB");
-    }
-}
-
-fn start_pooler(setup: Setup, entries: Vec<serde_json::Value>, discovery: &FakeDiscovery) -> PoolerProcess {
-    let config = PoolerConfig::new(discovery, entries).sockets(setup.sockets);
-    PoolerProcess::start(&config.with("/limits/memory_mb", setup.memory_mib))
-}
 
 /// A write of the largest value: 64 KiB, as hexadecimal digits.
 fn largest_write(id: &str) -> Vec<u8> {
--- a/crates/proxy/src/assembly.rs
+++ b/crates/proxy/src/assembly.rs
@@ -94,8 +94,8 @@
         let (health_checks, requested_health_checks) = async_channel::unbounded();
         let router = Router::new(config.seed, config.settings.clone());
         let router = Rc::new(RouterHandle::new(router, counters.clone(), health_checks));
-        let directory = Rc::new(EndpointDirectory::default());
         let memory_limits = MemoryLimits::new(config.max_memory, config.max_descriptors);
+        let directory = Rc::new(EndpointDirectory::new(memory_limits.endpoints));
         let memory = Rc::new(MemoryBudget::new(memory_limits.counted, counters.clone()));
         let budget = SocketBudget::new(memory_limits.descriptors);
         let (proxy, max_servers) = (config.proxy.clone(), budget.servers);
--- a/crates/proxy/src/discovery/endpoint_directory.rs
+++ b/crates/proxy/src/discovery/endpoint_directory.rs
@@ -3,7 +3,7 @@
 use crate::router_handle::RouterHandle;
 use pooler_routing::membership::{Membership, MergeResult, SelfPreservation, SourceId, WatchEvent};
 use pooler_routing::{EndpointId, EndpointUpdate, Event, TimeDelta, Timestamp};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -20,19 +20,24 @@
 
 /// The endpoints and their addresses, by id.
 #[derive(Debug)]
-pub struct EndpointDirectory(RefCell<Membership>);
-
-impl Default for EndpointDirectory {
-    fn default() -> Self {
-        Self(RefCell::new(Membership::new(REMOVED_RETENTION, MAX_REMOVED)))
-    }
+pub struct EndpointDirectory {
+    membership: RefCell<Membership>,
+    /// Whether a refusal of endpoints has been logged, which happens once.
+    has_logged_refusal: Cell<bool>,
 }
 
 impl EndpointDirectory {
+    /// Creates an empty directory of endpoints that may take up `max_memory` bytes, here and in the router.
+    #[must_use]
+    pub fn new(max_memory: usize) -> Self {
+        let membership = Membership::new(REMOVED_RETENTION, MAX_REMOVED).with_max_memory(max_memory);
+        Self { membership: RefCell::new(membership), has_logged_refusal: Cell::new(false) }
+    }
+
     /// The address of an endpoint, if the endpoint and its address are known.
     #[must_use]
     pub fn address(&self, endpoint: &EndpointId) -> Option<SocketAddr> {
-        self.0.borrow().get(endpoint).and_then(|resolved| resolved.address)
+        self.membership.borrow().get(endpoint).and_then(|resolved| resolved.address)
     }
 }
 
@@ -53,7 +58,7 @@
 
     /// Sets the conditions under which self-preservation treats a source's snapshots as suspect.
     pub fn set_self_preservation(&self, source: SourceId, self_preservation: SelfPreservation) {
-        self.directory.0.borrow_mut().set_self_preservation(source, self_preservation);
+        self.directory.membership.borrow_mut().set_self_preservation(source, self_preservation);
     }
 
     /// The current time on the router's clock: Unix time in microseconds.
@@ -64,13 +69,22 @@
 
     /// Merges a source's event into the directory and dispatches the resulting changes to the router at once.
     pub fn apply(&self, source: SourceId, event: WatchEvent) -> MergeResult {
-        let result = self.directory.0.borrow_mut().merge(self.now(), source, event);
+        let result = self.directory.membership.borrow_mut().merge(self.now(), source, event);
         if !result.changed.is_empty() {
             self.router.dispatch(Event::EndpointUpdate(EndpointUpdate::Delta(result.changed.clone())));
         }
         if !result.evicted.is_empty() {
             self.router.dispatch(Event::EndpointUpdate(EndpointUpdate::Evicted(result.evicted.clone())));
         }
+        self.record_refused(result.refused_endpoints);
         result
     }
+
+    /// Counts endpoints for which there is no memory, and logs the first time that there are any.
+    fn record_refused(&self, refused: usize) {
+        self.router.counters().refused_endpoints.add(refused);
+        if refused > 0 && !self.directory.has_logged_refusal.replace(true) {
+            tracing::warn!("no memory for {refused} more endpoints of a list; they get no requests");
+        }
+    }
 }
--- a/crates/proxy/src/memory_budget.rs
+++ b/crates/proxy/src/memory_budget.rs
@@ -25,9 +25,11 @@
 const ALLOWANCE_PER_DESCRIPTOR: usize = 16 * 1024;
 /// The share of the memory limit that the allowances of all descriptors may take.
 const MAX_ALLOWANCE_DIVISOR: usize = 2;
-/// The share of the rest that may be counted; the other part is for the allocator's fragmentation and for state
-/// that does not depend on peers.
+/// The share of the rest that may be counted; the other part is for the known endpoints, for state that has limits
+/// of its own, and for the allocator's fragmentation.
 const BUDGET_DIVISOR: usize = 2;
+/// The share of the memory limit that the known endpoints may take.
+const ENDPOINTS_DIVISOR: usize = 6;
 /// The longest wait for memory to be reclaimed.
 const MAX_WAIT: Duration = Duration::from_millis(250);
 /// The interval at which a waiting task looks for peers that have stalled meanwhile.
@@ -87,6 +89,8 @@
     pub descriptors: usize,
     /// The budget for counted memory, in bytes.
     pub counted: usize,
+    /// The memory that the known endpoints may take up, in bytes.
+    pub endpoints: usize,
 }
 
 impl MemoryLimits {
@@ -95,7 +99,7 @@
     pub fn new(limit: usize, descriptors: usize) -> Self {
         let descriptors = descriptors.min(limit / MAX_ALLOWANCE_DIVISOR / ALLOWANCE_PER_DESCRIPTOR);
         let rest = limit - descriptors * ALLOWANCE_PER_DESCRIPTOR;
-        Self { descriptors, counted: rest / BUDGET_DIVISOR }
+        Self { descriptors, counted: rest / BUDGET_DIVISOR, endpoints: limit / ENDPOINTS_DIVISOR }
     }
 }
 
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -18,6 +18,12 @@
         self.0.set(self.0.get().saturating_add(1));
     }
 
+    /// Adds `count`.
+    pub fn add(&self, count: usize) {
+        let count = u64::try_from(count).unwrap_or(u64::MAX);
+        self.0.set(self.0.get().saturating_add(count));
+    }
+
     /// Raises the counter to `value` if it is lower.
     pub fn raise_to(&self, value: u64) {
         self.0.set(self.0.get().max(value));
@@ -70,6 +76,8 @@
     pub memory_reclaims: Counter,
     /// Reads that found no memory.
     pub memory_denials: Counter,
+    /// Endpoints of lists that were ignored because there was no memory for them.
+    pub refused_endpoints: Counter,
     /// The most memory that was counted at a time, in KiB.
     pub peak_counted_memory_kib: Counter,
     outcomes: [Counter; OUTCOME_NAMES.len()],
@@ -110,7 +118,7 @@
     }
 
     /// The counters with their names in the status report, in the order of output.
-    fn named(&self) -> [(&'static str, &Counter); 22] {
+    fn named(&self) -> [(&'static str, &Counter); 23] {
         [
             ("client_connections", &self.client_connections),
             ("rejected_connections", &self.rejected_connections),
@@ -133,6 +141,7 @@
             ("longest_stall_ms", &self.longest_stall_ms),
             ("memory_reclaims", &self.memory_reclaims),
             ("memory_denials", &self.memory_denials),
+            ("refused_endpoints", &self.refused_endpoints),
             ("peak_counted_memory_kib", &self.peak_counted_memory_kib),
         ]
     }
--- a/crates/routing/src/membership/mod.rs
+++ b/crates/routing/src/membership/mod.rs
@@ -8,6 +8,7 @@
 //! repeated record, a stale copy or the older view of another registry server is not newer.
 
 mod claim;
+mod memory;
 mod resolution;
 mod self_preservation;
 mod table;
--- a/crates/routing/src/membership/resolution.rs
+++ b/crates/routing/src/membership/resolution.rs
@@ -46,6 +46,11 @@
         self.0.iter().find(|(claimant, _)| *claimant == source).map(|(_, held)| held)
     }
 
+    /// The length of the zones in all claims, in bytes.
+    pub(super) fn zones_size(&self) -> usize {
+        self.all().map(|held| held.claim.zone.len()).sum()
+    }
+
     pub(super) fn insert(&mut self, source: SourceId, held: HeldClaim) {
         match self.0.binary_search_by_key(&source, |(claimant, _)| *claimant) {
             Ok(index) => self.0[index].1 = held,
--- a/crates/routing/src/membership/table.rs
+++ b/crates/routing/src/membership/table.rs
@@ -1,6 +1,7 @@
 //! The membership table: the claims of all sources, and the endpoints resolved from them.
 
 use super::claim::{ClaimDecision, EndpointClaim, HeldClaim, SourceId};
+use super::memory::{MemoryUsage, RecordMemory};
 use super::resolution::{ClaimsBySource, ResolvedEndpoint};
 use super::self_preservation::{SelfPreservation, SnapshotCoverage, SnapshotGuard, SuspectedLoss};
 use super::watch::{MergeResult, WatchEvent};
@@ -8,8 +9,8 @@
 use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// The maximum number of endpoints in the table, which limits its memory if the deltas of a registry keep
-/// naming new endpoints. Claims about known endpoints are merged even if the table is full.
+/// The maximum number of endpoints in the table, whatever its memory. Claims about known endpoints are merged
+/// even if the table is full.
 pub const MAX_ENDPOINTS: usize = 100_000;
 
 /// The claims about one endpoint and their resolution.
@@ -18,18 +19,29 @@
     claims: ClaimsBySource,
     resolved: ResolvedEndpoint,
     removed_at: Option<Timestamp>,
+    memory: RecordMemory,
+}
+
+impl EndpointRecord {
+    /// The memory that the record of this endpoint takes up now.
+    fn current_memory(&self, endpoint: &EndpointId) -> RecordMemory {
+        let names = endpoint.0.len() + self.claims.zones_size() + self.resolved.zone.len();
+        RecordMemory::new(names, self.removed_at.is_some())
+    }
 }
 
 /// The table of endpoints, resolved from the claims of all sources.
 #[derive(Debug)]
 pub struct Membership {
     guards: BTreeMap<SourceId, SnapshotGuard>,
-    endpoints: BTreeMap<EndpointId, EndpointRecord>,
+    /// Boxed, since half of the slots in the map's nodes may be free.
+    endpoints: BTreeMap<EndpointId, Box<EndpointRecord>>,
     /// The removed endpoints, ordered by the time of their removal, so that the cost of an eviction depends
     /// only on the number of evicted endpoints.
     removed: BTreeSet<(Timestamp, EndpointId)>,
     removed_retention: TimeDelta,
     max_removed: usize,
+    memory: MemoryUsage,
 }
 
 /// A merge in progress: its time, its source, and its result so far.
@@ -50,9 +62,18 @@
             removed: BTreeSet::new(),
             removed_retention,
             max_removed,
+            memory: MemoryUsage::new(usize::MAX),
         }
     }
 
+    /// Limits the memory of the endpoints, here and in the router, to this many bytes. Removed endpoints are
+    /// evicted for new ones; without any, new endpoints are refused.
+    #[must_use]
+    pub fn with_max_memory(mut self, bytes: usize) -> Self {
+        self.memory = MemoryUsage::new(bytes);
+        self
+    }
+
     /// Sets the limits beyond which snapshots of a source are suspected. Without limits, all are accepted.
     pub fn set_self_preservation(&mut self, source: SourceId, limits: SelfPreservation) {
         self.guards.insert(source, SnapshotGuard::new(limits));
@@ -132,10 +153,10 @@
         mut claim: EndpointClaim,
         snapshot_version: Option<i64>,
     ) {
-        let is_full = self.endpoints.len() >= MAX_ENDPOINTS;
         let record = self.endpoints.get(&claim.endpoint);
-        if record.is_none() && is_full {
+        if record.is_none() && !self.has_room_for(&claim) {
             merge.result.stale_claims += 1;
+            merge.result.refused_endpoints += 1;
             return;
         }
         if let Some(held) = record.and_then(|record| record.claims.get(merge.source)) {
@@ -161,6 +182,13 @@
         self.store_claim(merge, HeldClaim { claim, absent_from_version: None, reported_at: merge.now });
     }
 
+    /// Whether the endpoint of this claim can be added to the table.
+    fn has_room_for(&self, claim: &EndpointClaim) -> bool {
+        let names = claim.endpoint.0.len() + 2 * claim.zone.len();
+        let memory = RecordMemory::new(names, claim.lifecycle == Lifecycle::Removed);
+        self.endpoints.len() < MAX_ENDPOINTS && self.memory.has_room_for(memory)
+    }
+
     /// Removes an endpoint that is absent from the snapshot of this version.
     fn remove_absent(&mut self, merge: &mut Merge<'_>, endpoint: EndpointId, snapshot_version: i64) {
         let held = self.endpoints.get(&endpoint).and_then(|record| record.claims.get(merge.source));
@@ -190,21 +218,32 @@
             }
             (None, false) | (Some(_), true) => {}
         }
-        if is_new || record.resolved != resolved {
-            merge.result.changed.push(resolved.to_entry(endpoint));
-            record.resolved = resolved;
+        let is_changed = is_new || record.resolved != resolved;
+        record.resolved = resolved;
+        if !is_new {
+            self.memory -= record.memory;
+        }
+        record.memory = record.current_memory(&endpoint);
+        self.memory += record.memory;
+        if is_changed {
+            merge.result.changed.push(record.resolved.to_entry(endpoint));
         }
     }
 
-    /// Evicts the endpoints that were removed longest ago while they exceed the retention time or the maximum
-    /// number.
+    /// Evicts the endpoints that were removed longest ago while they exceed the retention time, the maximum
+    /// number or the memory.
     fn evict_removed(&mut self, now: Timestamp, result: &mut MergeResult) {
         while let Some((removed_at, _)) = self.removed.first() {
-            if now - *removed_at < self.removed_retention && self.removed.len() <= self.max_removed {
+            let is_retained = now - *removed_at < self.removed_retention
+                && self.removed.len() <= self.max_removed
+                && !self.memory.is_exceeded();
+            if is_retained {
                 return;
             }
             if let Some((_, endpoint)) = self.removed.pop_first() {
-                self.endpoints.remove(&endpoint);
+                if let Some(record) = self.endpoints.remove(&endpoint) {
+                    self.memory -= record.memory;
+                }
                 result.evicted.push(endpoint);
             }
         }
--- a/crates/routing/src/membership/watch.rs
+++ b/crates/routing/src/membership/watch.rs
@@ -30,6 +30,8 @@
     pub evicted: Vec<EndpointId>,
     /// The number of claims that were ignored, because the held claim is newer or the table is full.
     pub stale_claims: usize,
+    /// The number of those claims that were ignored because there is no memory for another endpoint.
+    pub refused_endpoints: usize,
     /// The number of stale claims that would have reverted a drain or a removal.
     pub rejected_revivals: usize,
     /// The number of claims that have another address than the held claim of the same registration, which
--- a/crates/routing/tests/membership.rs
+++ b/crates/routing/tests/membership.rs
@@ -272,6 +272,42 @@
     assert_eq!(lifecycle(&membership, 7), Some(Lifecycle::Draining));
 }
 
+/// The memory in a test of its limit, in bytes, and a number of endpoints that does not fit into it.
+const FEW_ENDPOINTS_MEMORY: usize = 100_000;
+const TOO_MANY_ENDPOINTS: usize = 1_000;
+
+#[test]
+fn new_endpoints_without_memory_are_refused_and_drains_of_known_ones_still_apply() {
+    // Guards against a source that keeps naming new endpoints until the process is killed for its memory.
+    let mut membership = new_membership().with_max_memory(FEW_ENDPOINTS_MEMORY);
+    let named = (0..TOO_MANY_ENDPOINTS).map(|number| active(number, 1)).collect();
+    let result = merge_delta(&mut membership, 0, named);
+    let known = membership.iter().count();
+    assert!(known > 0 && known < TOO_MANY_ENDPOINTS, "{known}");
+    assert_eq!((result.changed.len(), result.refused_endpoints), (known, TOO_MANY_ENDPOINTS - known));
+    merge_delta(&mut membership, 1, vec![claim(7, Lifecycle::Draining, None, 2)]);
+    assert_eq!(lifecycle(&membership, 7), Some(Lifecycle::Draining));
+    // Longer names leave room for fewer.
+    let long_zone = |number| EndpointClaim { zone: "z".repeat(10_000), ..active(number, 1) };
+    let mut membership = new_membership().with_max_memory(FEW_ENDPOINTS_MEMORY);
+    merge_delta(&mut membership, 0, (0..TOO_MANY_ENDPOINTS).map(long_zone).collect());
+    assert!(membership.iter().count() <= FEW_ENDPOINTS_MEMORY / 20_000, "{}", membership.iter().count());
+}
+
+#[test]
+fn removed_endpoints_are_evicted_for_new_ones() {
+    // Guards against endpoints that are refused while the memory is taken up by removed ones.
+    let mut membership = new_membership().with_max_memory(FEW_ENDPOINTS_MEMORY);
+    for number in 0..TOO_MANY_ENDPOINTS {
+        let at_ms = 2 * number as i64;
+        assert_eq!(merge_delta(&mut membership, at_ms, vec![active(number, 1)]).refused_endpoints, 0);
+        let removed = claim(number, Lifecycle::Removed, None, 2);
+        assert_eq!(merge_delta(&mut membership, at_ms + 1, vec![removed]).refused_endpoints, 0);
+    }
+    assert_eq!(lifecycle(&membership, 0), None, "the endpoints that were removed first are evicted");
+    assert_eq!(lifecycle(&membership, TOO_MANY_ENDPOINTS - 1), Some(Lifecycle::Removed));
+}
+
 #[test]
 fn removed_endpoints_are_evicted_by_age_and_by_number() {
     let mut membership = Membership::new(TimeDelta::from_millis(1_000), 2);
