Evict clients that have stopped before idle ones, and those only after 2 s

Cause: beyond a quarter of the descriptors each new client evicts an idle one, from an idle time of 20 ms on; a client that had stopped in a command counted as idle, and as younger than those between two requests.

Without any, new clients are served up to the number of slots, then rejected.

--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -171,9 +171,15 @@
             Ok(ReadOutcome::Closed(ClosedBy::Pooler))
         };
         let read = read_once(&self.stream, &mut self.buffer, &mut self.read_ahead);
-        let class = eviction_class(self.phase);
+        let (class, since) = match self.phase {
+            SessionPhase::Startup | SessionPhase::AwaitingFirstRequest => {
+                (EvictionClass::AwaitingFirstRequest, self.waiting_since)
+            }
+            SessionPhase::Established if is_between_commands => (EvictionClass::Idle, self.waiting_since),
+            SessionPhase::Established => (EvictionClass::Stalled, Instant::now()),
+        };
         let work = or(read, or(timeout, shutdown));
-        let work = self.slot.while_evictable(class, self.waiting_since, work);
+        let work = self.slot.while_evictable(class, since, work);
         let outcome = self.context.memory.while_reclaimable(Stall::IncompleteCommand, held, work).await;
         if is_between_commands {
             self.restart_idle_time();
@@ -272,13 +278,6 @@
     }
 }
 
-fn eviction_class(phase: SessionPhase) -> EvictionClass {
-    match phase {
-        SessionPhase::Startup | SessionPhase::AwaitingFirstRequest => EvictionClass::AwaitingFirstRequest,
-        SessionPhase::Established => EvictionClass::Idle,
-    }
-}
-
 async fn read_once(
     stream: &TcpConnection,
     buffer: &mut ReadBuffer,
--- a/crates/proxy/src/client/connection_slots.rs
+++ b/crates/proxy/src/client/connection_slots.rs
@@ -7,8 +7,8 @@
 //! only once the task has released it.
 //!
 //! A client with a request in flight keeps its slot. Of the other served clients, those that have made no
-//! request yet are evicted first, oldest first, and then those that have been idle longest. Clients that have
-//! made no request share a limited part of the slots, so that a flood of connections without requests evicts
+//! request yet are evicted first, oldest first, then those that have stopped in the middle of a command, and then
+//! those that have been idle longest. Clients that have made no request share a limited part of the slots, so that a flood of connections without requests evicts
 //! only connections of the same kind. The number of clients that have made requests is limited as well: where
 //! each client may hold only a limited number of connections, clients that make one request and keep their
 //! connections would otherwise leave none for others.
@@ -38,20 +38,23 @@
     Unserved,
     /// The client has made no request yet.
     AwaitingFirstRequest,
+    /// The client has made requests, and has stopped in the middle of the next command.
+    Stalled,
     /// The client is between two requests.
     Idle,
 }
 
 impl EvictionClass {
     /// All classes in the order of eviction.
-    const ALL: [Self; 3] = [Self::Unserved, Self::AwaitingFirstRequest, Self::Idle];
+    const ALL: [Self; 4] = [Self::Unserved, Self::AwaitingFirstRequest, Self::Stalled, Self::Idle];
 
     /// The least age at which a connection may be evicted; the client of a younger connection may be about to
-    /// send.
+    /// send. The operators' clients count on an idle connection for as long as this.
     const fn min_age(self) -> Duration {
         match self {
             Self::Unserved | Self::AwaitingFirstRequest => Duration::from_millis(5),
-            Self::Idle => Duration::from_millis(20),
+            Self::Stalled => Duration::from_millis(500),
+            Self::Idle => Duration::from_secs(2),
         }
     }
 }
@@ -88,8 +91,8 @@
     pub clients: usize,
     /// The number of further connections that may be open at a time while they are rejected or closed.
     pub rejected: usize,
-    /// The limit on clients that have made a request; once it is reached, an idle one is evicted for each new
-    /// client.
+    /// The limit on clients that have made a request; once it is reached, a stalled or idle one is evicted for
+    /// each new client, if there is any.
     pub established: usize,
 }
 
@@ -260,7 +263,7 @@
     pub async fn admit(&self) -> Admission {
         let slots = &self.slots;
         if slots.established() >= slots.limits.established {
-            slots.evict_one(EvictionClass::Idle..=EvictionClass::Idle).await;
+            slots.evict_one(EvictionClass::Stalled..=EvictionClass::Idle).await;
         }
         loop {
             if self.try_admit() == Admission::Admitted {
