Let endpoint lists take memory from commands that have not run

A list of 3,201 endpoints had no effect for 0.99 s, beside 200 clients that send a byte every 5 ms of a large command; data servers that drain get requests meanwhile (grace 0.5 s).

Cause: a list got what commands left, 2 of 8 MiB at 32 MB, and memory was reclaimed only from clients that had sent nothing for 20 ms. Freed memory went to whichever task asked first. A client evaded a release if a byte had come by the time its task ran, and one that waited for memory could not be asked at all.

Fix: for a list, memory is reclaimed from commands even if their clients go on sending; what a more important use waits for is left to it; a release takes precedence over a read. A chunk is moved while it arrives, instead of being held whole, and the changes of a list are moved to the router, not copied.

The test of parse_chunk became one of ChunkedBody, over pieces of any size, valid or not.

--- a/crates/pooler/src/registry_discovery.rs
+++ b/crates/pooler/src/registry_discovery.rs
@@ -6,8 +6,8 @@
 use pooler_proxy::Pooler;
 use pooler_proxy::discovery::endpoint_directory::{EndpointUpdates, REGISTRY};
 use pooler_proxy::memory_budget::{MemoryUse, Reservation};
+use pooler_routing::Timestamp;
 use pooler_routing::membership::{MergeResult, WatchEvent};
-use pooler_routing::{Lifecycle, Timestamp};
 use pooler_service_registry::client::SetupError;
 use pooler_service_registry::eureka::instance::InstanceStatus;
 use pooler_service_registry::{
@@ -92,8 +92,7 @@
     fn apply(&self, event: WatchEvent) -> MergeResult {
         let result = self.updates.apply(REGISTRY, event);
         // The pooler can serve requests once it knows an active endpoint.
-        let has_active = result.changed.iter().any(|entry| entry.lifecycle == Lifecycle::Active);
-        if has_active && self.registration.status() == Some(InstanceStatus::Starting) {
+        if result.active_changes > 0 && self.registration.status() == Some(InstanceStatus::Starting) {
             self.registration.set_status(Some(InstanceStatus::Up));
         }
         result
--- a/crates/pooler/tests/overload/endpoint_lists.rs
+++ b/crates/pooler/tests/overload/endpoint_lists.rs
@@ -2,10 +2,12 @@
 //! the process stays below its limit and goes on serving.
 
 use crate::memory_monitor::{LEAST_MEMORY_MOST_SOCKETS, MemoryMonitor, start_pooler};
-use crate::run_alone;
 use crate::support::*;
-use std::io::Write;
-use std::net::TcpStream;
+use crate::{EndOnDrop, run_alone};
+use std::io::{ErrorKind, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 /// The time for which lists come.
@@ -16,6 +18,13 @@
 const REPLACED_AT_ONCE: usize = LARGEST_FLEET * 6 / 10;
 /// The entries in one of the lists that come in a row.
 const ENTRIES_PER_LIST: usize = 1_000;
+/// The clients that write slowly, the part of a command that each writes at once, in bytes, and the interval
+/// between its other bytes.
+const SLOW_WRITERS: usize = 200;
+const FIRST_PART: usize = 60_000;
+const BYTE_INTERVAL: Duration = Duration::from_millis(5);
+/// The time after which an endpoint that has been listed as draining must get nothing new, with the slack on sockets.
+const LIST_LIMIT: Duration = Duration::from_millis(550);
 /// The pause between two reads.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -141,3 +150,86 @@
     assert_eq!(client.query(&read_statement("read")).text(), Some("s-1"), "{}", pooler.counters());
     monitor.assert_below_limit("the largest fleet");
 }
+
+/// Writes the first part of a large command, and then its other bytes one at a time, on one connection after
+/// another.
+fn slow_writer(pooler: SocketAddr, number: usize, ended: &AtomicBool) {
+    let statement =
+        read_statement(&format!("slow-{number}")).replace(" /*", &format!(" {} /*", " ".repeat(100_000)));
+    let command = query_bytes([statement]);
+    while !ended.load(Ordering::Relaxed) {
+        let Ok(mut socket) = TcpStream::connect(pooler) else { return };
+        socket.set_nodelay(true).unwrap();
+        let mut client = Client { stream: MessageStream::new(socket.try_clone().unwrap()) };
+        let mut result = socket.write_all(&startup_bytes(&command[..FIRST_PART]));
+        client.read_response();
+        socket.set_nonblocking(true).unwrap();
+        for byte in &command[FIRST_PART..] {
+            // It comes again the moment it is turned away.
+            let is_turned_away =
+                !matches!(socket.peek(&mut [0]), Err(error) if error.kind() == ErrorKind::WouldBlock);
+            if is_turned_away || result.is_err() || ended.load(Ordering::Relaxed) {
+                break;
+            }
+            std::thread::sleep(BYTE_INTERVAL);
+            result = socket.write_all(&[*byte]);
+        }
+    }
+}
+
+/// Answers a watch with keep-alives until `list` is there, and then with that list. Sets `told_at` once it has
+/// been written.
+fn answer_watch(socket: &mut TcpStream, list: &OnceLock<String>, told_at: &OnceLock<Instant>) {
+    let mut result = socket.write_all(CHUNKED_RESPONSE_HEAD).and_then(|()| socket.write_all(b"1\r\n\n\r\n"));
+    while result.is_ok() && list.get().is_none() {
+        std::thread::sleep(PAUSE);
+        result = socket.write_all(b"1\r\n\n\r\n");
+    }
+    let Some(list) = list.get() else { return };
+    let _ = socket.write_all(format!("{:x}\r\n{list}\r\n", list.len()).as_bytes());
+    told_at.get_or_init(Instant::now);
+    std::thread::sleep(STEP_TIMEOUT);
+}
+
+#[test]
+fn an_endpoint_list_is_applied_in_time_beside_clients_that_fill_the_memory() {
+    // Guards against drains that are not heard while clients hold all the memory that they may, and go on sending.
+    let _alone = run_alone();
+    let server = FakeServer::answering("s-1", "replica");
+    let (list, told_at) = (Arc::new(OnceLock::new()), Arc::new(OnceLock::new()));
+    let discovery = FakeDiscovery::with_response({
+        let (list, told_at) = (list.clone(), told_at.clone());
+        move |socket| answer_watch(socket, &list, &told_at)
+    });
+    let setup = LEAST_MEMORY_MOST_SOCKETS;
+    let pooler = start_pooler(setup, vec![], &discovery);
+    let monitor = MemoryMonitor::start(&pooler, setup);
+    let (address, ended) = (pooler.address, AtomicBool::new(false));
+    let draining = |number: usize| {
+        let mut entry = server.entry("draining", "replica");
+        entry["instanceId"] = format!("s-{number:08x}").into();
+        entry
+    };
+    let entries = (0..LARGEST_FLEET).map(draining).chain([server.entry("up", "replica")]).collect();
+    let snapshot = format!("{}\n", snapshot(42, entries));
+    let applied_at = std::thread::scope(|scope| {
+        let ended = &ended;
+        let _end = EndOnDrop(ended);
+        for number in 0..SLOW_WRITERS {
+            scope.spawn(move || slow_writer(address, number, ended));
+        }
+        std::thread::sleep(Duration::from_secs(1));
+        list.set(snapshot).unwrap();
+        for number in 0.. {
+            let statement = with_deadline(&read_statement(&format!("read-{number}")), 100);
+            if Client::connect(&pooler).query(&statement).text() == Some("s-1") {
+                break;
+            }
+        }
+        Instant::now()
+    });
+    let took = applied_at.saturating_duration_since(*told_at.get().unwrap());
+    println!("applied after {took:?}: {}", pooler.counters());
+    assert!(took <= LIST_LIMIT, "the list had no effect for {took:?}: {}", pooler.counters());
+    monitor.assert_below_limit("a list beside slow writers");
+}
--- a/crates/proxy/src/buffer.rs
+++ b/crates/proxy/src/buffer.rs
@@ -168,6 +168,18 @@
         Ok(())
     }
 
+    /// Extends the buffer to `capacity` bytes, so that fewer reads take more each.
+    ///
+    /// # Errors
+    ///
+    /// When there is no memory for it.
+    pub async fn extend_to(&mut self, capacity: usize) -> io::Result<()> {
+        if self.bytes.len() < capacity && !self.bytes.extend_to(self.memory_use, capacity).await {
+            return Err(out_of_memory());
+        }
+        Ok(())
+    }
+
     /// Makes room for the next read if there is memory for it that this use may take.
     pub fn try_make_room(&mut self, memory_use: MemoryUse) -> bool {
         self.missing_capacity().is_none_or(|capacity| self.bytes.try_extend_to(memory_use, capacity))
--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -156,7 +156,7 @@
         if is_flooding && deadline.is_some_and(|deadline| deadline <= Instant::now()) {
             return Ok(ReadOutcome::Closed(ClosedBy::Pooler));
         }
-        if !self.read_ahead.is_skipping() && self.buffer.make_room().await.is_err() {
+        if !self.read_ahead.is_skipping() && !self.make_room().await {
             self.buffer.clear();
             return Err(ClientError::OutOfMemory);
         }
@@ -193,6 +193,15 @@
         }
     }
 
+    /// Makes room in the buffer for the next read. Returns false if there is no memory for it, or the memory of the
+    /// first part of a command is needed for others.
+    async fn make_room(&mut self) -> bool {
+        let held = self.buffer.counted_size();
+        let room = self.buffer.make_room();
+        let has_room = self.context.memory.while_reclaimable(Stall::AwaitingMemory, held, room).await;
+        matches!(has_room, Some(Ok(())))
+    }
+
     /// The time at which the next command has to be complete; `None` while an established client is between
     /// commands. The arrival of a command's first bytes starts the time limit, and later bytes don't extend
     /// it.
--- a/crates/proxy/src/discovery/endpoint_directory.rs
+++ b/crates/proxy/src/discovery/endpoint_directory.rs
@@ -67,14 +67,16 @@
         self.router.now()
     }
 
-    /// Merges a source's event into the directory and dispatches the resulting changes to the router at once.
+    /// Merges a source's event into the directory and dispatches the resulting changes to the router at once. The
+    /// changed and evicted endpoints are moved to the router, and missing in the result.
     pub fn apply(&self, source: SourceId, event: WatchEvent) -> MergeResult {
-        let result = self.directory.membership.borrow_mut().merge(self.now(), source, event);
-        if !result.changed.is_empty() {
-            self.router.dispatch(Event::EndpointUpdate(EndpointUpdate::Delta(result.changed.clone())));
+        let mut result = self.directory.membership.borrow_mut().merge(self.now(), source, event);
+        let (changed, evicted) = (std::mem::take(&mut result.changed), std::mem::take(&mut result.evicted));
+        if !changed.is_empty() {
+            self.router.dispatch(Event::EndpointUpdate(EndpointUpdate::Delta(changed)));
         }
-        if !result.evicted.is_empty() {
-            self.router.dispatch(Event::EndpointUpdate(EndpointUpdate::Evicted(result.evicted.clone())));
+        if !evicted.is_empty() {
+            self.router.dispatch(Event::EndpointUpdate(EndpointUpdate::Evicted(evicted)));
         }
         self.record_refused(result.refused_endpoints);
         result
--- a/crates/proxy/src/discovery/endpoint_list.rs
+++ b/crates/proxy/src/discovery/endpoint_list.rs
@@ -13,18 +13,17 @@
 /// The platform's name of the role that accepts writes.
 const ROLE_PRIMARY: &str = "master";
 
-/// The memory that decoding and merging one endpoint takes at most, without its names, in bytes: the entry, in a
-/// vector that doubles, its claim, and two copies of the change that results.
+/// The memory that decoding and merging one endpoint takes, without its names, in bytes: the entry, the claim that it
+/// becomes, and the change that results.
 const DECODED_ENDPOINT_SIZE: usize =
-    2 * size_of::<ListedEndpoint>() + size_of::<EndpointClaim>() + 2 * size_of::<EndpointEntry>();
+    size_of::<ListedEndpoint>() + size_of::<EndpointClaim>() + size_of::<EndpointEntry>();
 
 /// An upper bound of the memory that decoding and merging a list takes, in bytes, from its text.
 #[must_use]
 pub fn decoding_size(text: &[u8]) -> usize {
-    // Each entry is an object, and the list another one.
+    // Each entry is an object, and the list another one. The names are copied for the change.
     let objects = text.iter().filter(|byte| **byte == b'{').count();
-    // The text of each name is copied up to three times.
-    3 * text.len() + objects * DECODED_ENDPOINT_SIZE
+    2 * text.len() + objects * DECODED_ENDPOINT_SIZE
 }
 
 /// A list of all endpoints, or of the endpoints that changed since an earlier list.
--- a/crates/proxy/src/discovery/http.rs
+++ b/crates/proxy/src/discovery/http.rs
@@ -1,6 +1,8 @@
 //! Parses the parts of an HTTP/1.1 response that a watch needs: the head, and the chunks of the body. Does no
 //! I/O.
 
+use std::ops::Range;
+
 /// The maximum size in bytes of a head.
 const MAX_HEAD_SIZE: usize = 64 * 1024;
 /// The maximum size in bytes of a chunk's content.
@@ -9,6 +11,7 @@
 const MAX_CHUNK_SIZE_LINE: usize = 64;
 /// The maximum number of characters of a status line that an error message quotes.
 const MAX_REPORTED_STATUS: usize = 80;
+const MALFORMED_CHUNK: HttpError = HttpError::Malformed("HTTP chunk");
 const LINE_END: &[u8] = b"\r\n";
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
@@ -55,26 +58,85 @@
     Ok(Some(Head { chunked, size: end + HEAD_END.len() }))
 }
 
-/// Parses the chunk at the start of `data`. Returns its content and the size in bytes of the whole chunk, or
-/// `None` while the chunk is incomplete. An empty chunk ends the body.
-///
-/// # Errors
-///
-/// Fails if the chunk is malformed, or its content exceeds 4 MiB.
-pub fn parse_chunk(data: &[u8]) -> Result<Option<(&[u8], usize)>, HttpError> {
-    let malformed = HttpError::Malformed("HTTP chunk");
+/// The next part of a chunked body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ChunkedPart {
+    /// The range of the content's next bytes in the data. All data up to its end belongs to the part.
+    Content(Range<usize>),
+    /// More bytes have to be read first.
+    Incomplete,
+    /// The body has ended.
+    End,
+}
+
+/// What comes next in a chunked body.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum ChunkState {
+    /// The line that gives the size of a chunk.
+    #[default]
+    SizeLine,
+    /// The rest of a chunk's content, with its size in bytes.
+    Content(usize),
+    /// The line end after a chunk's content.
+    ContentEnd,
+}
+
+/// Parses a chunked body while its bytes arrive, without waiting for the end of a chunk.
+#[derive(Clone, Debug, Default)]
+pub struct ChunkedBody(ChunkState);
+
+impl ChunkedBody {
+    /// Parses the next part at the start of `data`, which begins after the previous part.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a chunk is malformed, or its content exceeds 4 MiB.
+    pub fn next_part(&mut self, data: &[u8]) -> Result<ChunkedPart, HttpError> {
+        let mut start = 0;
+        loop {
+            let rest = &data[start..];
+            let size = match self.0 {
+                ChunkState::SizeLine => {
+                    let Some((length, size)) = parse_size_line(rest)? else { break };
+                    if length == 0 {
+                        return Ok(ChunkedPart::End);
+                    }
+                    self.0 = ChunkState::Content(length);
+                    size
+                }
+                ChunkState::Content(length) => {
+                    let count = length.min(rest.len());
+                    if count == 0 {
+                        break;
+                    }
+                    let is_last = count == length;
+                    self.0 =
+                        if is_last { ChunkState::ContentEnd } else { ChunkState::Content(length - count) };
+                    return Ok(ChunkedPart::Content(start..start + count));
+                }
+                ChunkState::ContentEnd => {
+                    let Some(end) = rest.get(..LINE_END.len()) else { break };
+                    if end != LINE_END {
+                        return Err(MALFORMED_CHUNK);
+                    }
+                    self.0 = ChunkState::SizeLine;
+                    LINE_END.len()
+                }
+            };
+            start += size;
+        }
+        if start == 0 { Ok(ChunkedPart::Incomplete) } else { Ok(ChunkedPart::Content(start..start)) }
+    }
+}
+
+/// Parses the line that gives the size of a chunk. Returns that size, and the size of the line in bytes; `None`
+/// while the line is incomplete.
+fn parse_size_line(data: &[u8]) -> Result<Option<(usize, usize)>, HttpError> {
     let Some(line_end) = find(&data[..data.len().min(MAX_CHUNK_SIZE_LINE)], LINE_END) else {
-        return if data.len() < MAX_CHUNK_SIZE_LINE { Ok(None) } else { Err(malformed) };
+        return if data.len() < MAX_CHUNK_SIZE_LINE { Ok(None) } else { Err(MALFORMED_CHUNK) };
     };
-    let length = chunk_length(&data[..line_end]).ok_or(malformed.clone())?;
-    let start = line_end + LINE_END.len();
-    let end = start + length;
-    let size = end + LINE_END.len();
-    let Some(trailer) = data.get(end..size) else { return Ok(None) };
-    if trailer != LINE_END {
-        return Err(malformed);
-    }
-    Ok(Some((&data[start..end], size)))
+    let length = chunk_length(&data[..line_end]).ok_or(MALFORMED_CHUNK)?;
+    Ok(Some((length, line_end + LINE_END.len())))
 }
 
 fn is_success(status_line: &str) -> bool {
--- a/crates/proxy/src/discovery/watch.rs
+++ b/crates/proxy/src/discovery/watch.rs
@@ -4,9 +4,10 @@
 use super::backoff::{Backoff, WatchEnd};
 use super::endpoint_directory::{EndpointUpdates, PLATFORM};
 use super::endpoint_list::{EndpointList, decoding_size};
+use super::http::ChunkedPart;
 use super::json_stream::JsonStream;
 use super::repeated_call::first_success;
-use super::watch_connection::{BodyPart, IO_TIMEOUT, WatchConnection, WatchError};
+use super::watch_connection::{IO_TIMEOUT, WatchConnection, WatchError};
 use crate::memory_budget::{MemoryBudget, MemoryUse, Reservation, out_of_memory};
 use crate::metrics::Counters;
 use async_io::Timer;
@@ -129,20 +130,20 @@
         let mut buffered = Reservation::new(self.memory.clone());
         loop {
             match connection.next_body_part()? {
-                BodyPart::Bytes { bytes, size } => {
-                    reserve(&mut buffered, stream.allocation_for(bytes.len())).await?;
-                    stream.push(bytes);
-                    connection.consume(size);
+                ChunkedPart::Content(content) => {
+                    reserve(&mut buffered, stream.allocation_for(content.len())).await?;
+                    stream.push(&connection.data()[content.clone()]);
+                    connection.consume(content.end);
                     self.apply_lists(&mut stream).await?;
                     buffered.record(stream.allocated());
                     // The buffer may hold thousands of chunks.
                     yield_now().await;
                     continue;
                 }
-                BodyPart::Incomplete => {}
-                BodyPart::End => return Ok(()),
+                ChunkedPart::Incomplete => {}
+                ChunkedPart::End => return Ok(()),
             }
-            if connection.fill().await? == 0 {
+            if connection.fill(stream.allocated() > 0).await? == 0 {
                 return Ok(());
             }
         }
--- a/crates/proxy/src/discovery/watch_connection.rs
+++ b/crates/proxy/src/discovery/watch_connection.rs
@@ -1,7 +1,7 @@
 //! The HTTP connection of one watch on discovery.
 
 use super::backoff::WatchEnd;
-use super::http::{self, HttpError};
+use super::http::{self, ChunkedBody, ChunkedPart, HttpError};
 use super::json_stream::JsonStreamError;
 use crate::buffer::{ReadBuffer, TcpConnection, write_all};
 use crate::memory_budget::{MemoryUse, Reservation};
@@ -17,6 +17,9 @@
 /// whether or not it arrived; this limit leaves time for one more call that gets no response.
 pub(super) const IO_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// The size of a read while the rest of a list is expected, in bytes.
+const LIST_READ_SIZE: usize = 64 * 1024;
+
 /// The error that ended a watch.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum WatchError {
@@ -50,21 +53,12 @@
     }
 }
 
-/// The next part of a response's body.
-pub(super) enum BodyPart<'a> {
-    /// Bytes of the body, and the size of what is to be consumed from the connection for them.
-    Bytes { bytes: &'a [u8], size: usize },
-    /// More bytes have to be read first.
-    Incomplete,
-    /// The body has ended.
-    End,
-}
-
 /// The HTTP connection of a watch that discovery has answered.
 pub(super) struct WatchConnection {
     stream: TcpConnection,
     buffer: ReadBuffer,
-    is_chunked: bool,
+    /// `None` if the body is not chunked.
+    chunks: Option<ChunkedBody>,
 }
 
 impl WatchConnection {
@@ -96,26 +90,26 @@
             }
         };
         buffer.consume(head.size);
-        Ok(Self { stream, buffer, is_chunked: head.chunked })
+        Ok(Self { stream, buffer, chunks: head.chunked.then(ChunkedBody::default) })
+    }
+
+    /// The bytes that have been read and not consumed.
+    pub(super) fn data(&self) -> &[u8] {
+        self.buffer.data()
     }
 
-    /// The next part of the body that has been read completely.
+    /// The next part of the body in the data.
     ///
     /// # Errors
     ///
     /// When the body is malformed.
-    pub(super) fn next_body_part(&self) -> Result<BodyPart<'_>, HttpError> {
+    pub(super) fn next_body_part(&mut self) -> Result<ChunkedPart, HttpError> {
         let data = self.buffer.data();
-        let (bytes, size) = match self.is_chunked {
-            true => match http::parse_chunk(data)? {
-                Some(([], _)) => return Ok(BodyPart::End),
-                Some(chunk) => chunk,
-                None => return Ok(BodyPart::Incomplete),
-            },
-            false if data.is_empty() => return Ok(BodyPart::Incomplete),
-            false => (data, data.len()),
-        };
-        Ok(BodyPart::Bytes { bytes, size })
+        match &mut self.chunks {
+            Some(chunks) => chunks.next_part(data),
+            None if data.is_empty() => Ok(ChunkedPart::Incomplete),
+            None => Ok(ChunkedPart::Content(0..data.len())),
+        }
     }
 
     /// Consumes the first `size` bytes that have been read.
@@ -123,13 +117,18 @@
         self.buffer.consume(size);
     }
 
-    /// Reads once and returns the number of bytes read, which is 0 at the end of the stream.
+    /// Reads once and returns the number of bytes read, which is 0 at the end of the stream. Reads much at once if
+    /// the rest of a list is expected.
     ///
     /// # Errors
     ///
-    /// When reading fails, or takes longer than [`IO_TIMEOUT`].
-    pub(super) async fn fill(&mut self) -> io::Result<usize> {
-        self.buffer.shrink_if_empty();
+    /// When reading fails, or takes longer than [`IO_TIMEOUT`], or there is no memory for it.
+    pub(super) async fn fill(&mut self, is_within_list: bool) -> io::Result<usize> {
+        if is_within_list {
+            self.buffer.extend_to(LIST_READ_SIZE).await?;
+        } else {
+            self.buffer.shrink_if_empty();
+        }
         with_io_timeout(self.buffer.fill(&self.stream)).await
     }
 }
--- a/crates/proxy/src/memory_budget.rs
+++ b/crates/proxy/src/memory_budget.rs
@@ -37,7 +37,7 @@
 const BYTES_PER_KIB: usize = 1024;
 
 /// What counted memory is used for, by increasing importance.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum MemoryUse {
     /// Commands that a client sends while its request is in flight.
     CommandAhead,
@@ -50,6 +50,9 @@
 }
 
 impl MemoryUse {
+    /// All uses, by increasing importance.
+    const ALL: [Self; 4] = [Self::CommandAhead, Self::Command, Self::Response, Self::EndpointList];
+
     /// The eighths of the budget that all uses together may hold after a reservation for this use.
     const fn limit_eighths(self) -> usize {
         match self {
@@ -66,18 +69,24 @@
 pub enum Stall {
     /// The peer has sent a part of a command.
     IncompleteCommand,
+    /// The peer has sent a part of a command, and there is no memory yet for the rest.
+    AwaitingMemory,
     /// The peer does not read its response.
     UnreadResponse,
 }
 
 impl Stall {
-    const ALL: [Self; 2] = [Self::IncompleteCommand, Self::UnreadResponse];
-
-    /// The time without progress after which a peer counts as stalled.
-    const fn min_age(self) -> Duration {
-        match self {
-            Self::IncompleteCommand => Duration::from_millis(20),
-            Self::UnreadResponse => Duration::from_millis(500),
+    const ALL: [Self; 3] = [Self::IncompleteCommand, Self::AwaitingMemory, Self::UnreadResponse];
+
+    /// The time without progress after which a peer's memory is reclaimed if it is wanted for this use; `None` if
+    /// it never is. A command that has not run gives way to a list even while its client goes on sending.
+    const fn min_age(self, wanted_for: MemoryUse) -> Option<Duration> {
+        match (self, wanted_for) {
+            (Self::IncompleteCommand | Self::AwaitingMemory, MemoryUse::EndpointList) => Some(Duration::ZERO),
+            (Self::IncompleteCommand, _) => Some(Duration::from_millis(20)),
+            (Self::AwaitingMemory, MemoryUse::Response) => Some(Duration::from_millis(20)),
+            (Self::AwaitingMemory, MemoryUse::Command | MemoryUse::CommandAhead) => None,
+            (Self::UnreadResponse, _) => Some(Duration::from_millis(500)),
         }
     }
 }
@@ -127,6 +136,8 @@
     used: Cell<usize>,
     /// The part of `used` whose release has been requested.
     releasing: Cell<usize>,
+    /// The bytes that tasks wait for, by use.
+    wanted: [Cell<usize>; MemoryUse::ALL.len()],
     freed: Event,
     holders: RefCell<BTreeMap<HolderKey, Holder>>,
     last_holder: Cell<u64>,
@@ -142,6 +153,7 @@
             counters,
             used: Cell::new(0),
             releasing: Cell::new(0),
+            wanted: Default::default(),
             freed: Event::new(),
             holders: RefCell::default(),
             last_holder: Cell::new(0),
@@ -159,8 +171,21 @@
         self.limit / 8 * memory_use.limit_eighths()
     }
 
+    /// Whether `size` more bytes may be reserved for this use, and leave as much as is waited for by more
+    /// important uses.
     fn has_room(&self, memory_use: MemoryUse, size: usize) -> bool {
-        self.used.get().saturating_add(size) <= self.limit_of(memory_use)
+        let used = self.used.get().saturating_add(size);
+        let leaves_wanted = |other: &MemoryUse| {
+            let wanted = self.wanted_for(*other).get();
+            wanted == 0 || used + wanted <= self.limit_of(*other)
+        };
+        let mut more_important = MemoryUse::ALL.iter().filter(|other| **other > memory_use);
+        used <= self.limit_of(memory_use) && more_important.all(leaves_wanted)
+    }
+
+    /// The bytes that tasks wait for to use them so.
+    fn wanted_for(&self, memory_use: MemoryUse) -> &Cell<usize> {
+        &self.wanted[memory_use as usize]
     }
 
     fn add(&self, size: usize) {
@@ -178,6 +203,7 @@
     /// them. Returns false if there is none to reclaim in time.
     async fn wait_for_room(&self, memory_use: MemoryUse, size: usize) -> bool {
         let give_up_at = Instant::now() + MAX_WAIT;
+        let _wanted = Wanted::new(self.wanted_for(memory_use), size);
         while !self.has_room(memory_use, size) {
             if Instant::now() >= give_up_at || size > self.limit_of(memory_use) {
                 self.counters.memory_denials.increment();
@@ -197,20 +223,21 @@
     fn request_release(&self, memory_use: MemoryUse, size: usize) {
         let needed = (self.used.get() + size).saturating_sub(self.limit_of(memory_use));
         while self.releasing.get() < needed {
-            let Some(holder) = self.take_most_stalled() else { return };
+            let Some(holder) = self.take_most_stalled(memory_use) else { return };
             self.counters.memory_reclaims.increment();
             self.releasing.set(self.releasing.get() + holder.size);
             holder.released.set();
         }
     }
 
-    /// Removes the peer that has stalled the longest, by kind of stall.
-    fn take_most_stalled(&self) -> Option<Holder> {
+    /// Removes the peer that has stalled the longest, by kind of stall, if its memory is wanted for this use.
+    fn take_most_stalled(&self, wanted_for: MemoryUse) -> Option<Holder> {
         let mut holders = self.holders.borrow_mut();
         let oldest = |stall: Stall| {
             let first = HolderKey { stall, since: self.created_at, number: 0 };
             let (key, _) = holders.range(first..).next()?;
-            (key.stall == stall && key.since.elapsed() >= stall.min_age()).then_some(*key)
+            let min_age = stall.min_age(wanted_for)?;
+            (key.stall == stall && key.since.elapsed() >= min_age).then_some(*key)
         };
         let key = Stall::ALL.into_iter().find_map(oldest)?;
         holders.remove(&key)
@@ -232,7 +259,31 @@
             registration.released.wait().await;
             None
         };
-        or(async { Some(work.await) }, reclaimed).await
+        let work = async { Some(work.await) };
+        match stall {
+            // Reading more of a command releases nothing, and a client that goes on sending would keep the memory.
+            Stall::IncompleteCommand | Stall::AwaitingMemory => or(reclaimed, work).await,
+            Stall::UnreadResponse => or(work, reclaimed).await,
+        }
+    }
+}
+
+/// Counts the bytes that a task waits for until it is dropped.
+struct Wanted<'a> {
+    wanted: &'a Cell<usize>,
+    size: usize,
+}
+
+impl<'a> Wanted<'a> {
+    fn new(wanted: &'a Cell<usize>, size: usize) -> Self {
+        wanted.set(wanted.get() + size);
+        Self { wanted, size }
+    }
+}
+
+impl Drop for Wanted<'_> {
+    fn drop(&mut self) {
+        self.wanted.set(self.wanted.get() - self.size);
     }
 }
 
--- a/crates/proxy/tests/memory_budget.rs
+++ b/crates/proxy/tests/memory_budget.rs
@@ -83,6 +83,49 @@
     block_on(or(reclaimed, unread));
 }
 
+#[test]
+fn an_endpoint_list_takes_memory_from_commands_whose_clients_go_on_sending() {
+    // Guards against lists that are not applied while clients hold the memory and send a byte now and then.
+    for stall in [Stall::IncompleteCommand, Stall::AwaitingMemory] {
+        let budget = budget(80 * KIB);
+        let sending = async {
+            let held = reservation(&budget, MemoryUse::Command, 60 * KIB);
+            let byte = || Timer::after(Duration::from_millis(1));
+            while budget.while_reclaimable(stall, held.size(), byte()).await.is_some() {}
+        };
+        let listing = async {
+            Timer::after(Duration::from_millis(10)).await;
+            let mut wanted = Reservation::new(budget.clone());
+            assert!(wanted.resize(MemoryUse::EndpointList, 40 * KIB).await, "{stall:?}");
+        };
+        block_on(zip(sending, listing));
+    }
+}
+
+#[test]
+fn memory_that_a_more_important_use_waits_for_is_left_to_it() {
+    // Guards against freed memory that goes to whoever asks first, while a list waits for more of it.
+    let budget = budget(80 * KIB);
+    let (first, second) = (
+        reservation(&budget, MemoryUse::Command, 30 * KIB),
+        reservation(&budget, MemoryUse::Command, 20 * KIB),
+    );
+    let listing = async {
+        let mut wanted = Reservation::new(budget.clone());
+        assert!(wanted.resize(MemoryUse::EndpointList, 60 * KIB).await);
+    };
+    let others = async {
+        Timer::after(Duration::from_millis(10)).await;
+        drop(first);
+        let mut command = Reservation::new(budget.clone());
+        assert!(!command.try_resize(MemoryUse::Command, 5 * KIB), "the list waits for the memory");
+        drop(second);
+        Timer::after(Duration::from_millis(10)).await;
+    };
+    block_on(zip(listing, others));
+    assert!(Reservation::new(budget).try_resize(MemoryUse::Command, 60 * KIB), "nobody waits any more");
+}
+
 #[test]
 fn without_a_stalled_peer_a_reservation_is_denied_in_time() {
     let budget = budget(80 * KIB);
--- a/crates/proxy/tests/parsers.rs
+++ b/crates/proxy/tests/parsers.rs
@@ -1,7 +1,7 @@
 //! The parsers on arbitrary input: no parser panics, and none returns a message before its last byte has
 //! arrived.
 
-use pooler_proxy::discovery::http;
+use pooler_proxy::discovery::http::{self, ChunkedBody, ChunkedPart, HttpError};
 use pooler_proxy::protocol::{
     self, Message, QuerySkipper, ResponseParser, ResponsePart, StatementKind, classify_statement,
     first_quoted_literal, parse_load_report, write,
@@ -10,6 +10,26 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
+/// Parses a chunked body that arrives in pieces. Returns its content, and whether it has ended.
+fn chunked_content(body: &[u8], piece_size: usize) -> Result<(Vec<u8>, bool), HttpError> {
+    let (mut parser, mut data, mut content) = (ChunkedBody::default(), Vec::new(), Vec::new());
+    for piece in body.chunks(piece_size) {
+        data.extend_from_slice(piece);
+        loop {
+            match parser.next_part(&data)? {
+                ChunkedPart::Content(range) => {
+                    assert!(range.end > 0, "a part without bytes would be returned for ever");
+                    content.extend_from_slice(&data[range.clone()]);
+                    data.drain(..range.end);
+                }
+                ChunkedPart::Incomplete => break,
+                ChunkedPart::End => return Ok((content, true)),
+            }
+        }
+    }
+    Ok((content, false))
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
 
@@ -24,7 +44,8 @@
         let _ = protocol::parse_error_response(&data);
         let _ = protocol::parse_parameter_status(&data);
         let _ = protocol::parse_data_row(&data);
-        let _ = (http::parse_head(&data), http::parse_chunk(&data));
+        let _ = http::parse_head(&data);
+        let _ = chunked_content(&data, data.len().max(1));
         if let Ok(Some(message)) = protocol::parse_backend_message(&data) {
             let _ = ResponseParser::default().accept(&message);
         }
@@ -34,6 +55,26 @@
         let _ = parse_load_report(&text, &[]);
     }
 
+    #[test]
+    fn a_chunked_body_is_parsed_in_pieces_of_any_size(
+        chunks in prop::collection::vec(prop::collection::vec(any::<u8>(), 1..60), 0..8),
+        noise in prop::collection::vec(any::<u8>(), 0..20),
+        piece_size in 1_usize..70,
+    ) {
+        let mut body = Vec::new();
+        for chunk in &chunks {
+            body.extend_from_slice(format!("{:x};x=1\r\n", chunk.len()).as_bytes());
+            body.extend_from_slice(chunk);
+            body.extend_from_slice(b"\r\n");
+        }
+        let incomplete = body.len();
+        body.extend_from_slice(b"0\r\n\r\n");
+        prop_assert_eq!(chunked_content(&body, piece_size), Ok((chunks.concat(), true)));
+        prop_assert_eq!(chunked_content(&body[..incomplete], piece_size), Ok((chunks.concat(), false)));
+        // Whatever follows a part of it, the parser neither panics nor stays where it is.
+        let _ = chunked_content(&[&body[..incomplete / 2], &noise].concat(), piece_size);
+    }
+
     #[test]
     fn an_incomplete_message_is_not_parsed(
         body in prop::collection::vec(any::<u8>(), 0..100),
--- a/crates/routing/src/membership/table.rs
+++ b/crates/routing/src/membership/table.rs
@@ -226,6 +226,7 @@
         record.memory = record.current_memory(&endpoint);
         self.memory += record.memory;
         if is_changed {
+            merge.result.active_changes += usize::from(record.resolved.lifecycle == Lifecycle::Active);
             merge.result.changed.push(record.resolved.to_entry(endpoint));
         }
     }
--- a/crates/routing/src/membership/watch.rs
+++ b/crates/routing/src/membership/watch.rs
@@ -26,6 +26,8 @@
 pub struct MergeResult {
     /// The entries that changed, in the form that the router accepts.
     pub changed: Vec<EndpointEntry>,
+    /// The number of changed entries that are active.
+    pub active_changes: usize,
     /// The removed endpoints that were evicted from the table.
     pub evicted: Vec<EndpointId>,
     /// The number of claims that were ignored, because the held claim is newer or the table is full.
