Let responses wait for memory until unread ones can be reclaimed

A response that found no memory was given up after 250 ms, its request answered as one that may have run, and its server blamed with a reset, though the memory of peers that read nothing could have been reclaimed another 250 ms later.

Cause: the longest wait, 250 ms, was shorter than the 500 ms after which an unread response counts as stalled.

Fix: responses and lists wait for up to 750 ms, commands for 250 ms as before.

The new test of the budget failed before and holds.

--- a/crates/proxy/src/memory_budget.rs
+++ b/crates/proxy/src/memory_budget.rs
@@ -30,8 +30,6 @@
 const BUDGET_DIVISOR: usize = 2;
 /// The share of the memory limit that the known endpoints may take.
 const ENDPOINTS_DIVISOR: usize = 6;
-/// The longest wait for memory to be reclaimed.
-const MAX_WAIT: Duration = Duration::from_millis(250);
 /// The interval at which a waiting task looks for peers that have stalled meanwhile.
 const RETRY_INTERVAL: Duration = Duration::from_millis(5);
 const BYTES_PER_KIB: usize = 1024;
@@ -62,6 +60,15 @@
             Self::EndpointList => 8,
         }
     }
+
+    /// The longest wait for memory to be reclaimed. A response and a list may wait until a peer that does not read
+    /// counts as stalled: a response is of a request that has run.
+    const fn max_wait(self) -> Duration {
+        match self {
+            Self::CommandAhead | Self::Command => Duration::from_millis(250),
+            Self::Response | Self::EndpointList => Duration::from_millis(750),
+        }
+    }
 }
 
 /// Why the memory of a peer can be reclaimed; the first variant is reclaimed first.
@@ -202,7 +209,7 @@
     /// Waits until `size` more bytes may be reserved for this use, and reclaims memory from stalled peers for
     /// them. Returns false if there is none to reclaim in time.
     async fn wait_for_room(&self, memory_use: MemoryUse, size: usize) -> bool {
-        let give_up_at = Instant::now() + MAX_WAIT;
+        let give_up_at = Instant::now() + memory_use.max_wait();
         let _wanted = Wanted::new(self.wanted_for(memory_use), size);
         while !self.has_room(memory_use, size) {
             if Instant::now() >= give_up_at || size > self.limit_of(memory_use) {
--- a/crates/proxy/tests/memory_budget.rs
+++ b/crates/proxy/tests/memory_budget.rs
@@ -126,6 +126,30 @@
     assert!(Reservation::new(budget).try_resize(MemoryUse::Command, 60 * KIB), "nobody waits any more");
 }
 
+#[test]
+fn a_response_waits_until_the_memory_of_unread_ones_can_be_reclaimed() {
+    // Guards against responses to requests that have run, given up for the sake of responses that nobody reads.
+    let budget = budget(80 * KIB);
+    let unread = async {
+        let held = reservation(&budget, MemoryUse::Response, 60 * KIB);
+        let reading = std::future::pending::<()>();
+        assert!(budget.while_reclaimable(Stall::UnreadResponse, held.size(), reading).await.is_none());
+    };
+    let response = async {
+        let mut wanted = Reservation::new(budget.clone());
+        assert!(wanted.resize(MemoryUse::Response, 40 * KIB).await);
+    };
+    let both = async {
+        zip(unread, response).await;
+        true
+    };
+    let expired = async {
+        Timer::after(Duration::from_secs(2)).await;
+        false
+    };
+    assert!(block_on(or(both, expired)));
+}
+
 #[test]
 fn without_a_stalled_peer_a_reservation_is_denied_in_time() {
     let budget = budget(80 * KIB);
