Let any unread answer give up what its client has sent ahead

Cause, by reading: only the send of a served response could be given up for its memory; a client that did not read an error or the answer to an empty query kept up to 256 KiB of commands ahead for up to 30 s.

Change: one way to send, which is given up like that of a response.

--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -224,21 +224,22 @@
             .is_some()
     }
 
-    /// Sends all pieces in order, within the time limit for writes. `held` is the counted memory of the pieces,
-    /// in bytes; the client is given up if that memory is needed for others.
-    pub(super) async fn send_held(&self, pieces: &[&[u8]], held: usize) -> Result<(), ClientError> {
-        let held = held + self.buffer.counted_size();
-        let sent = self.context.memory.while_reclaimable(Stall::UnreadResponse, held, self.send(pieces));
-        sent.await.unwrap_or(Err(ClientError::WriteTimedOut))
+    /// Sends all pieces in order, within the time limit for writes. The client is given up if the memory of what it
+    /// has sent ahead is needed for others.
+    pub(super) async fn send(&self, pieces: &[&[u8]]) -> Result<(), ClientError> {
+        self.send_held(pieces, 0).await
     }
 
-    /// Sends all pieces in order, within the time limit for writes.
-    pub(super) async fn send(&self, pieces: &[&[u8]]) -> Result<(), ClientError> {
+    /// Like [`send`](Self::send), where the pieces hold another `held` bytes of counted memory.
+    pub(super) async fn send_held(&self, pieces: &[&[u8]], held: usize) -> Result<(), ClientError> {
+        let held = held + self.buffer.counted_size();
         let timeout = async {
             Timer::after(WRITE_TIMEOUT).await;
             Err(ClientError::WriteTimedOut)
         };
-        or(async { Ok(write_all(&self.stream, pieces).await?) }, timeout).await
+        let sent = or(async { Ok(write_all(&self.stream, pieces).await?) }, timeout);
+        let sent = self.context.memory.while_reclaimable(Stall::UnreadResponse, held, sent);
+        sent.await.unwrap_or(Err(ClientError::WriteTimedOut))
     }
 
     /// Performs what remains to be done at the end of a session before the connection is dropped: a fatal
