Report memory by use, why connections were closed, and the end of the process

Change: the status report has a line of the memory by use, with peaks and denials, and counters of closed connections by reason and of evictions by class. A panic is logged with its place, a regular end too; at the level debug each closed connection and each denial. Fatal errors of sessions are sent in one place.

--- a/crates/pooler/src/logging.rs
+++ b/crates/pooler/src/logging.rs
@@ -18,7 +18,16 @@
     }
 }
 
-/// Installs the process-wide `tracing` subscriber; must be called only once.
+/// Logs each panic, which ends the process, before the standard report of it.
+fn log_panics() {
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        tracing::error!("the process ends: {panic}");
+        report(panic);
+    }));
+}
+
+/// Installs the process-wide `tracing` subscriber, and logs panics to it; must be called only once.
 pub fn init(settings: &LogSettings) {
     let level = match settings.level {
         LogLevel::Error => Level::ERROR,
@@ -36,4 +45,5 @@
         LogFormat::Text => subscriber.with_target(false).init(),
         LogFormat::Json => subscriber.json().flatten_event(true).init(),
     }
+    log_panics();
 }
--- a/crates/proxy/src/assembly.rs
+++ b/crates/proxy/src/assembly.rs
@@ -17,6 +17,7 @@
 use crate::lifecycle::signals::SignalHandler;
 use crate::lifecycle::stages::ShutdownStages;
 use crate::memory_budget::{MemoryBudget, MemoryLimits, Reservation};
+use crate::memory_report::MemoryReport;
 use crate::metrics::{Counters, StatusReport};
 use crate::router_handle::RouterHandle;
 use crate::server::health_checks;
@@ -82,6 +83,7 @@
     pool: Rc<Pool>,
     slots: Rc<ConnectionSlots>,
     memory: Rc<MemoryBudget>,
+    memory_report: Rc<MemoryReport>,
     in_doubt_writes: Rc<InDoubtWrites>,
     discovery: Rc<DiscoveryAddress>,
     updates: EndpointUpdates,
@@ -105,9 +107,18 @@
             rejected: budget.rejected_clients,
             established: budget.established_clients,
         };
-        let slots = ConnectionSlots::new(slot_limits, counters.clone());
+        let (pool, slots) = (Rc::new(pool), Rc::new(ConnectionSlots::new(slot_limits, counters.clone())));
+        let memory_report = Rc::new(MemoryReport::new(
+            config.max_memory,
+            counters.clone(),
+            memory.clone(),
+            slots.clone(),
+            pool.clone(),
+            directory.clone(),
+        ));
         let in_doubt_writes = Rc::new(InDoubtWrites::default());
         let status_report = Rc::new(StatusReport::new(counters.clone()));
+        status_report.add_section(memory_report.clone());
         status_report.add_section(in_doubt_writes.clone());
         let components = Self {
             executor: Rc::new(LocalExecutor::new()),
@@ -116,9 +127,10 @@
             stages: Rc::new(ShutdownStages::default()),
             updates: EndpointUpdates::new(directory, router.clone()),
             router,
-            pool: Rc::new(pool),
-            slots: Rc::new(slots),
+            pool,
+            slots,
             memory,
+            memory_report,
             in_doubt_writes,
             discovery: Rc::new(DiscoveryAddress::new(config.discovery_address)),
         };
@@ -181,6 +193,8 @@
         let (timer, idle_eviction) = (router.clone(), pool.clone());
         executor.spawn(async move { timer.run_timer().await }).detach();
         executor.spawn(async move { idle_eviction.run_idle_eviction().await }).detach();
+        let memory_report = self.memory_report.clone();
+        executor.spawn(async move { memory_report.run().await }).detach();
         let health_checker =
             health_checks::run(executor.clone(), router.clone(), pool.clone(), health_checks);
         executor.spawn(health_checker).detach();
--- a/crates/proxy/src/buffer.rs
+++ b/crates/proxy/src/buffer.rs
@@ -1,7 +1,8 @@
 //! Read buffers that release large allocations while idle, and vectored writes. All I/O of the proxy on
 //! connections goes through this module.
 
-use crate::memory_budget::{MAX_UNCOUNTED_SIZE, MemoryUse, Reservation, ReservedBytes, out_of_memory};
+use crate::memory_budget::{MAX_UNCOUNTED_SIZE, MemoryUse, Reservation};
+use crate::reserved_bytes::{ReservedBytes, out_of_memory};
 use async_io::Async;
 use futures_lite::future::poll_fn;
 use futures_lite::{AsyncRead, AsyncWriteExt};
--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -5,8 +5,10 @@
 use crate::client::context::ClientContext;
 use crate::client::errors::{ClientError, ErrorReply};
 use crate::client::read_ahead::{NextSkipped, ReadAhead};
-use crate::memory_budget::{MemoryUse, Reservation, ReservedBytes, Stall};
+use crate::close_reason::CloseReason;
+use crate::memory_budget::{MemoryUse, Reservation, Stall};
 use crate::protocol::write::Severity;
+use crate::reserved_bytes::ReservedBytes;
 use async_io::Timer;
 use futures_lite::future::or;
 use std::net::Shutdown;
@@ -35,22 +37,13 @@
     Established,
 }
 
-/// The side that ends a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum ClosedBy {
-    /// The client, or the connection can't be used any further.
-    Client,
-    /// The pooler: the connection was evicted, a command timed out, or the pooler is shutting down.
-    Pooler,
-}
-
 /// The outcome of a read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ReadOutcome {
     /// Bytes were read.
     BytesRead,
     /// The connection is to be closed, and nothing more will be read.
-    Closed(ClosedBy),
+    Closed(CloseReason),
 }
 
 /// The connection of one client.
@@ -101,6 +94,11 @@
         self.slot.try_admit()
     }
 
+    /// The number of the connection, which is never reused.
+    pub(super) fn number(&self) -> u64 {
+        self.slot.number()
+    }
+
     /// Enters the next phase of the session.
     pub(super) fn enter_phase(&mut self, phase: SessionPhase) {
         self.phase = phase;
@@ -146,7 +144,7 @@
         // A client that sends its next request immediately after each response would otherwise continue until
         // the process exits during a request.
         if is_between_commands && stages.terminating.is_set() {
-            return Ok(ReadOutcome::Closed(ClosedBy::Pooler));
+            return Ok(ReadOutcome::Closed(CloseReason::Shutdown));
         }
         self.buffer.shrink_if_empty();
         let deadline = self.command_deadline(is_between_commands);
@@ -154,7 +152,7 @@
         // be read. The deadline holds for a client that never stops sending as well.
         let is_flooding = self.stream.yield_if_due().await;
         if is_flooding && deadline.is_some_and(|deadline| deadline <= Instant::now()) {
-            return Ok(ReadOutcome::Closed(ClosedBy::Pooler));
+            return Ok(ReadOutcome::Closed(CloseReason::CommandTimeout));
         }
         if !self.read_ahead.is_skipping() && !self.make_room().await {
             self.buffer.clear();
@@ -164,11 +162,11 @@
         let shutdown_stage = if is_between_commands { &stages.closing_idle } else { &stages.terminating };
         let timeout = async {
             sleep_until(deadline).await;
-            Ok(ReadOutcome::Closed(ClosedBy::Pooler))
+            Ok(ReadOutcome::Closed(CloseReason::CommandTimeout))
         };
         let shutdown = async {
             shutdown_stage.wait().await;
-            Ok(ReadOutcome::Closed(ClosedBy::Pooler))
+            Ok(ReadOutcome::Closed(CloseReason::Shutdown))
         };
         let read = read_once(&self.stream, &mut self.buffer, &mut self.read_ahead);
         let (class, since) = match self.phase {
@@ -185,7 +183,7 @@
             self.restart_idle_time();
         }
         match outcome {
-            Some(outcome) => outcome.unwrap_or(Ok(ReadOutcome::Closed(ClosedBy::Pooler))),
+            Some(outcome) => outcome.unwrap_or(Ok(ReadOutcome::Closed(CloseReason::Eviction))),
             None => {
                 self.buffer.clear();
                 Err(ClientError::OutOfMemory)
@@ -244,9 +242,10 @@
 
     /// Performs what remains to be done at the end of a session before the connection is dropped: a fatal
     /// error for a client with an incomplete command, and a lingering close for an established client.
-    pub(super) async fn finish(&mut self, closed_by: ClosedBy) -> Result<(), ClientError> {
+    pub(super) async fn finish(&mut self, reason: CloseReason) -> Result<(), ClientError> {
         // The rest of an incomplete command may be in transit, and its client must receive an error.
-        if closed_by == ClosedBy::Pooler && self.has_partial_command() {
+        let has_session = self.phase != SessionPhase::Startup;
+        if has_session && reason.is_by_pooler() && self.has_partial_command() {
             self.context.counters.rejected_statements.increment();
             return self.close_with_error(ErrorReply::ConnectionClosing).await;
         }
@@ -295,7 +294,7 @@
 ) -> Result<ReadOutcome, ClientError> {
     let is_open =
         if read_ahead.is_skipping() { read_ahead.skip(stream).await } else { buffer.fill(stream).await? > 0 };
-    Ok(if is_open { ReadOutcome::BytesRead } else { ReadOutcome::Closed(ClosedBy::Client) })
+    Ok(if is_open { ReadOutcome::BytesRead } else { ReadOutcome::Closed(CloseReason::Client) })
 }
 
 /// Sleeps until the deadline; never completes if there is none.
--- a/crates/proxy/src/client/connection_slots.rs
+++ b/crates/proxy/src/client/connection_slots.rs
@@ -45,6 +45,14 @@
 }
 
 impl EvictionClass {
+    /// All classes with their names in the status report, in the order of their discriminants.
+    pub const NAMES: [(Self, &str); 4] = [
+        (Self::Unserved, "unserved"),
+        (Self::AwaitingFirstRequest, "awaiting_first_request"),
+        (Self::Stalled, "stalled"),
+        (Self::Idle, "idle"),
+    ];
+
     /// All classes in the order of eviction.
     const ALL: [Self; 4] = [Self::Unserved, Self::AwaitingFirstRequest, Self::Stalled, Self::Idle];
 
@@ -320,7 +328,7 @@
         };
         let result = or(work, evicted).await;
         if result.is_none() {
-            self.slots.counters.evicted_connections.increment();
+            self.slots.counters.record_eviction(class);
             self.release();
         }
         result
--- a/crates/proxy/src/client/errors.rs
+++ b/crates/proxy/src/client/errors.rs
@@ -1,5 +1,6 @@
 //! Errors that end a client's connection, and errors that clients receive.
 
+use crate::close_reason::CloseReason;
 use crate::protocol::write::{self, Severity};
 use crate::protocol::{ProtocolError, SqlState};
 use pooler_routing::TimeDelta;
@@ -22,6 +23,38 @@
     /// There is no memory for the rest of a command, or the memory of its first part is needed for others.
     #[error("no memory for the command")]
     OutOfMemory,
+    /// No connection slot is free for the client.
+    #[error("no connection slot is free")]
+    NoSlot,
+    /// The client sent too many commands that were rejected; holds the error of the last one.
+    #[error("too many rejected commands: {0}")]
+    TooManyRejections(ErrorReply),
+}
+
+impl ClientError {
+    /// The reason for which the connection is closed.
+    pub(super) fn close_reason(&self) -> CloseReason {
+        match self {
+            Self::Io(_) => CloseReason::ConnectionError,
+            Self::Protocol(_) => CloseReason::ProtocolViolation,
+            Self::WriteTimedOut => CloseReason::UnreadResponse,
+            Self::OutOfMemory => CloseReason::OutOfMemory,
+            Self::NoSlot => CloseReason::NoSlot,
+            Self::TooManyRejections(_) => CloseReason::TooManyRejections,
+        }
+    }
+
+    /// The fatal error that the client receives; `None` if the connection can't be used any further. `retry_after`
+    /// is the time after which a client that lacked memory or a slot should retry.
+    pub(super) fn reply(&self, retry_after: Option<TimeDelta>) -> Option<ErrorReply> {
+        match self {
+            Self::Io(_) | Self::WriteTimedOut => None,
+            Self::Protocol(error) => Some(ErrorReply::ProtocolViolation(*error)),
+            Self::OutOfMemory => Some(ErrorReply::OutOfMemory { retry_after }),
+            Self::NoSlot => Some(ErrorReply::TooManyClients { retry_after }),
+            Self::TooManyRejections(reply) => Some(*reply),
+        }
+    }
 }
 
 /// An error that a client receives in an ErrorResponse.
--- a/crates/proxy/src/client/responses.rs
+++ b/crates/proxy/src/client/responses.rs
@@ -1,7 +1,8 @@
 //! Sends the final responses to requests, and the error responses to skipped commands.
 
-use crate::client::connection::{ClientConnection, ClosedBy};
+use crate::client::connection::ClientConnection;
 use crate::client::errors::{ClientError, ErrorReply};
+use crate::close_reason::CloseReason;
 use crate::metrics::Counters;
 use crate::protocol::write::{self, Severity};
 use crate::request::FinalResponse;
@@ -16,7 +17,7 @@
     connection: &ClientConnection<'_>,
     response: FinalResponse<QueryResponse>,
     out: &mut Vec<u8>,
-) -> Result<ControlFlow<ClosedBy>, ClientError> {
+) -> Result<ControlFlow<CloseReason>, ClientError> {
     let is_disconnected = matches!(response, FinalResponse::ClientDisconnected { .. });
     let error = match response {
         FinalResponse::Served(response) => {
@@ -34,7 +35,7 @@
     if is_disconnected {
         error.write(out, Severity::Fatal);
         connection.send(&[out]).await?;
-        return Ok(ControlFlow::Break(ClosedBy::Client));
+        return Ok(ControlFlow::Break(CloseReason::Client));
     }
     error.write(out, Severity::Error);
     write::ready_for_query(out);
--- a/crates/proxy/src/client/session.rs
+++ b/crates/proxy/src/client/session.rs
@@ -4,7 +4,7 @@
 use crate::buffer::TcpConnection;
 use crate::client::cancellation::CancellableSession;
 use crate::client::commands::{Command, take_command};
-use crate::client::connection::{ClientConnection, ClosedBy, ReadOutcome, SessionPhase};
+use crate::client::connection::{ClientConnection, ReadOutcome, SessionPhase};
 use crate::client::connection_slots::{Admission, Slot};
 use crate::client::context::ClientContext;
 use crate::client::errors::{ClientError, ErrorReply};
@@ -12,6 +12,7 @@
 use crate::client::requests::{RoutableRequest, serve_request};
 use crate::client::responses::{reject_skipped_commands, send_final_response};
 use crate::client::startup::{StartupOutcome, start_session};
+use crate::close_reason::CloseReason;
 use crate::protocol::write::{self, Severity};
 use crate::protocol::{frontend_tag, parse_frontend_message};
 use crate::request::FinalResponse;
@@ -65,37 +66,41 @@
     /// Serves the client until its connection is closed.
     pub(super) async fn run(&mut self, admission: Admission) -> Result<(), ClientError> {
         let served = self.serve(admission).await;
+        self.record_close(served.as_ref().copied().unwrap_or_else(ClientError::close_reason));
         self.write_responses().await?;
-        match served {
-            Ok(closed_by) => self.connection.finish(closed_by).await,
-            Err(ClientError::Protocol(error)) => {
-                self.context.counters.rejected_statements.increment();
-                self.connection.close_with_error(ErrorReply::ProtocolViolation(error)).await
-            }
-            Err(ClientError::OutOfMemory) => {
-                self.context.counters.rejected_statements.increment();
-                let retry_after = self.context.no_slot_retry_after;
-                self.connection.close_with_error(ErrorReply::OutOfMemory { retry_after }).await
-            }
-            Err(error) => Err(error),
+        let error = match served {
+            Ok(reason) => return self.connection.finish(reason).await,
+            Err(error) => error,
+        };
+        if matches!(error, ClientError::Protocol(_) | ClientError::OutOfMemory) {
+            self.context.counters.rejected_statements.increment();
+        }
+        match error.reply(self.context.no_slot_retry_after) {
+            Some(reply) => self.connection.close_with_error(reply).await,
+            None => Err(error),
         }
     }
 
-    async fn serve(&mut self, admission: Admission) -> Result<ClosedBy, ClientError> {
+    fn record_close(&self, reason: CloseReason) {
+        self.context.counters.record_close(reason);
+        tracing::debug!("client {} closed: {reason:?}", self.connection.number());
+    }
+
+    async fn serve(&mut self, admission: Admission) -> Result<CloseReason, ClientError> {
         let key = self.registration.key();
         match start_session(self.context, &mut self.connection, key, admission).await? {
             StartupOutcome::SessionStarted => self.serve_commands().await,
-            StartupOutcome::Done => Ok(ClosedBy::Client),
+            StartupOutcome::Done(reason) => Ok(reason),
         }
     }
 
-    async fn serve_commands(&mut self) -> Result<ClosedBy, ClientError> {
+    async fn serve_commands(&mut self) -> Result<CloseReason, ClientError> {
         loop {
             let Some(message) = parse_frontend_message(self.connection.buffer().data())? else {
                 self.write_responses().await?;
                 match self.read_next_command().await? {
                     ControlFlow::Continue(()) => continue,
-                    ControlFlow::Break(closed_by) => return Ok(closed_by),
+                    ControlFlow::Break(reason) => return Ok(reason),
                 }
             };
             let (tag, size) = (message.tag, message.size);
@@ -104,8 +109,8 @@
                 continue;
             }
             let command = take_command(self.context, self.connection.buffer(), tag, size)?;
-            if let ControlFlow::Break(closed_by) = self.execute(command).await? {
-                return Ok(closed_by);
+            if let ControlFlow::Break(reason) = self.execute(command).await? {
+                return Ok(reason);
             }
             self.connection.restart_idle_time();
             // A client that sends many commands at once must not delay other clients.
@@ -128,28 +133,28 @@
 
     /// Continues after all commands in the buffer have been answered: rejects skipped commands if there are
     /// any, and reads more bytes otherwise.
-    async fn read_next_command(&mut self) -> Result<ControlFlow<ClosedBy>, ClientError> {
+    async fn read_next_command(&mut self) -> Result<ControlFlow<CloseReason>, ClientError> {
         match self.connection.take_next_skipped() {
             NextSkipped::None | NextSkipped::Incomplete => {
-                if let ReadOutcome::Closed(closed_by) = self.connection.read_more().await? {
-                    return Ok(ControlFlow::Break(closed_by));
+                if let ReadOutcome::Closed(reason) = self.connection.read_more().await? {
+                    return Ok(ControlFlow::Break(reason));
                 }
             }
             NextSkipped::Commands(count) => {
                 reject_skipped_commands(&self.connection, &self.context.counters, count).await?;
             }
-            NextSkipped::Terminate => return Ok(ControlFlow::Break(ClosedBy::Client)),
+            NextSkipped::Terminate => return Ok(ControlFlow::Break(CloseReason::Client)),
             NextSkipped::Invalid(error) => return Err(error.into()),
         }
         Ok(ControlFlow::Continue(()))
     }
 
     /// Executes a command; its response is sent or collected.
-    async fn execute(&mut self, command: Command<'_>) -> Result<ControlFlow<ClosedBy>, ClientError> {
+    async fn execute(&mut self, command: Command<'_>) -> Result<ControlFlow<CloseReason>, ClientError> {
         match command {
             Command::Request(request) => return self.execute_request(request).await,
             Command::Rejected(error) => return self.reject(error).await,
-            Command::Terminate => return Ok(ControlFlow::Break(ClosedBy::Client)),
+            Command::Terminate => return Ok(ControlFlow::Break(CloseReason::Client)),
             Command::Ignored => return Ok(ControlFlow::Continue(())),
             Command::EmptyQuery => write::empty_query_response(&mut self.responses),
             Command::SessionSetting(command_tag) => {
@@ -167,7 +172,7 @@
     async fn execute_request(
         &mut self,
         request: RoutableRequest<'_>,
-    ) -> Result<ControlFlow<ClosedBy>, ClientError> {
+    ) -> Result<ControlFlow<CloseReason>, ClientError> {
         self.write_responses().await?;
         let RoutableRequest { request, id } = request;
         self.connection.enter_phase(SessionPhase::Established);
@@ -187,13 +192,11 @@
     }
 
     /// Rejects a command that is not served; closes the connection after too many rejected commands.
-    async fn reject(&mut self, error: ErrorReply) -> Result<ControlFlow<ClosedBy>, ClientError> {
+    async fn reject(&mut self, error: ErrorReply) -> Result<ControlFlow<CloseReason>, ClientError> {
         self.context.counters.rejected_statements.increment();
         self.rejected_commands += 1;
         if self.rejected_commands >= MAX_REJECTED_COMMANDS {
-            self.write_responses().await?;
-            self.connection.close_with_error(error).await?;
-            return Ok(ControlFlow::Break(ClosedBy::Client));
+            return Err(ClientError::TooManyRejections(error));
         }
         error.write(&mut self.responses, Severity::Error);
         self.skip_until_sync = matches!(error, ErrorReply::OnlySimpleQueries);
@@ -202,7 +205,7 @@
         }
         self.write_responses().await?;
         if !self.connection.pause(REJECTION_PAUSE).await {
-            return Ok(ControlFlow::Break(ClosedBy::Pooler));
+            return Ok(ControlFlow::Break(CloseReason::Eviction));
         }
         Ok(ControlFlow::Continue(()))
     }
--- a/crates/proxy/src/client/startup.rs
+++ b/crates/proxy/src/client/startup.rs
@@ -4,7 +4,8 @@
 use crate::client::connection::{ClientConnection, ReadOutcome, SessionPhase};
 use crate::client::connection_slots::Admission;
 use crate::client::context::ClientContext;
-use crate::client::errors::{ClientError, ErrorReply};
+use crate::client::errors::ClientError;
+use crate::close_reason::CloseReason;
 use crate::protocol::{BackendKeyData, ProtocolError, StartupMessage, parse_startup_message, write};
 
 /// The response to SSLRequest and GSSENCRequest: encryption is not supported.
@@ -20,7 +21,7 @@
     /// A session has started.
     SessionStarted,
     /// The connection ends without a session.
-    Done,
+    Done(CloseReason),
 }
 
 /// Performs the startup of a connection, which ends with a session, a rejection or a cancel request.
@@ -30,15 +31,13 @@
     key: BackendKeyData,
     admission: Admission,
 ) -> Result<StartupOutcome, ClientError> {
-    if await_session_start(context, connection).await? == StartupOutcome::Done {
-        return Ok(StartupOutcome::Done);
+    if let StartupOutcome::Done(reason) = await_session_start(context, connection).await? {
+        return Ok(StartupOutcome::Done(reason));
     }
     // A slot may have become free since the client was rejected.
     if admission == Admission::Rejected && connection.try_admit() == Admission::Rejected {
         context.counters.rejected_connections.increment();
-        let error = ErrorReply::TooManyClients { retry_after: context.no_slot_retry_after };
-        connection.close_with_error(error).await?;
-        return Ok(StartupOutcome::Done);
+        return Err(ClientError::NoSlot);
     }
     connection.enter_phase(SessionPhase::AwaitingFirstRequest);
     let mut out = Vec::with_capacity(SESSION_START_CAPACITY);
@@ -55,8 +54,8 @@
     let mut encryption_requests = 0;
     loop {
         let Some((message, size)) = parse_startup_message(connection.buffer().data())? else {
-            if connection.read_more().await? != ReadOutcome::BytesRead {
-                return Ok(StartupOutcome::Done);
+            if let ReadOutcome::Closed(reason) = connection.read_more().await? {
+                return Ok(StartupOutcome::Done(reason));
             }
             continue;
         };
@@ -71,7 +70,7 @@
             }
             StartupMessage::CancelRequest(key) => {
                 context.cancellation_keys.cancel(key);
-                return Ok(StartupOutcome::Done);
+                return Ok(StartupOutcome::Done(CloseReason::Client));
             }
             StartupMessage::SessionStart => return Ok(StartupOutcome::SessionStarted),
         }
--- a/crates/proxy/src/discovery/endpoint_directory.rs
+++ b/crates/proxy/src/discovery/endpoint_directory.rs
@@ -34,6 +34,12 @@
         Self { membership: RefCell::new(membership), has_logged_refusal: Cell::new(false) }
     }
 
+    /// The memory that the endpoints take up, here and in the router, in bytes.
+    #[must_use]
+    pub fn memory_used(&self) -> usize {
+        self.membership.borrow().memory_used()
+    }
+
     /// The address of an endpoint, if the endpoint and its address are known.
     #[must_use]
     pub fn address(&self, endpoint: &EndpointId) -> Option<SocketAddr> {
--- a/crates/proxy/src/memory_budget.rs
+++ b/crates/proxy/src/memory_budget.rs
@@ -13,8 +13,7 @@
 use futures_lite::future::or;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::io;
-use std::ops::Deref;
+use std::fmt;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -48,8 +47,13 @@
 }
 
 impl MemoryUse {
-    /// All uses, by increasing importance.
-    const ALL: [Self; 4] = [Self::CommandAhead, Self::Command, Self::Response, Self::EndpointList];
+    /// All uses by increasing importance, with their names in the status report.
+    const NAMES: [(Self, &str); 4] = [
+        (Self::CommandAhead, "command_ahead"),
+        (Self::Command, "command"),
+        (Self::Response, "response"),
+        (Self::EndpointList, "endpoint_list"),
+    ];
 
     /// The eighths of the budget that all uses together may hold after a reservation for this use.
     const fn limit_eighths(self) -> usize {
@@ -135,6 +139,16 @@
     released: Rc<Latch>,
 }
 
+/// What one use holds and waits for, in bytes.
+#[derive(Debug, Default)]
+struct UseStatistics {
+    held: Cell<usize>,
+    peak: Cell<usize>,
+    /// The bytes that tasks wait for.
+    wanted: Cell<usize>,
+    denials: Cell<u64>,
+}
+
 /// The budget of counted memory.
 #[derive(Debug)]
 pub struct MemoryBudget {
@@ -143,8 +157,7 @@
     used: Cell<usize>,
     /// The part of `used` whose release has been requested.
     releasing: Cell<usize>,
-    /// The bytes that tasks wait for, by use.
-    wanted: [Cell<usize>; MemoryUse::ALL.len()],
+    uses: [UseStatistics; MemoryUse::NAMES.len()],
     freed: Event,
     holders: RefCell<BTreeMap<HolderKey, Holder>>,
     last_holder: Cell<u64>,
@@ -160,7 +173,7 @@
             counters,
             used: Cell::new(0),
             releasing: Cell::new(0),
-            wanted: Default::default(),
+            uses: Default::default(),
             freed: Event::new(),
             holders: RefCell::default(),
             last_holder: Cell::new(0),
@@ -183,37 +196,52 @@
     fn has_room(&self, memory_use: MemoryUse, size: usize) -> bool {
         let used = self.used.get().saturating_add(size);
         let leaves_wanted = |other: &MemoryUse| {
-            let wanted = self.wanted_for(*other).get();
+            let wanted = self.statistics(*other).wanted.get();
             wanted == 0 || used + wanted <= self.limit_of(*other)
         };
-        let mut more_important = MemoryUse::ALL.iter().filter(|other| **other > memory_use);
+        let mut more_important =
+            MemoryUse::NAMES.iter().map(|(other, _)| other).filter(|other| **other > memory_use);
         used <= self.limit_of(memory_use) && more_important.all(leaves_wanted)
     }
 
-    /// The bytes that tasks wait for to use them so.
-    fn wanted_for(&self, memory_use: MemoryUse) -> &Cell<usize> {
-        &self.wanted[memory_use as usize]
+    fn statistics(&self, memory_use: MemoryUse) -> &UseStatistics {
+        &self.uses[memory_use as usize]
     }
 
-    fn add(&self, size: usize) {
-        let used = self.used.get() + size;
+    /// Replaces the bytes that a reservation holds by others.
+    fn replace(&self, old: ReservedSize, new: ReservedSize) {
+        let used = self.used.get() - old.bytes + new.bytes;
         self.used.set(used);
         self.counters.peak_counted_memory_kib.raise_to((used / BYTES_PER_KIB) as u64);
+        if let Some(memory_use) = old.memory_use {
+            let held = &self.statistics(memory_use).held;
+            held.set(held.get() - old.bytes);
+        }
+        if let Some(memory_use) = new.memory_use {
+            let UseStatistics { held, peak, .. } = self.statistics(memory_use);
+            held.set(held.get() + new.bytes);
+            peak.set(peak.get().max(held.get()));
+        }
+        if new.bytes < old.bytes {
+            self.freed.notify(usize::MAX);
+        }
     }
 
-    fn subtract(&self, size: usize) {
-        self.used.set(self.used.get() - size);
-        self.freed.notify(usize::MAX);
+    fn record_denial(&self, memory_use: MemoryUse) {
+        self.counters.memory_denials.increment();
+        let denials = &self.statistics(memory_use).denials;
+        denials.set(denials.get() + 1);
+        tracing::debug!("no memory for a use as {memory_use:?}: {self}");
     }
 
     /// Waits until `size` more bytes may be reserved for this use, and reclaims memory from stalled peers for
     /// them. Returns false if there is none to reclaim in time.
     async fn wait_for_room(&self, memory_use: MemoryUse, size: usize) -> bool {
         let give_up_at = Instant::now() + memory_use.max_wait();
-        let _wanted = Wanted::new(self.wanted_for(memory_use), size);
+        let _wanted = Wanted::new(&self.statistics(memory_use).wanted, size);
         while !self.has_room(memory_use, size) {
             if Instant::now() >= give_up_at || size > self.limit_of(memory_use) {
-                self.counters.memory_denials.increment();
+                self.record_denial(memory_use);
                 return false;
             }
             let freed = self.freed.listen();
@@ -294,6 +322,18 @@
     }
 }
 
+impl fmt::Display for MemoryBudget {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "counted_kib={} of_kib={}", self.used.get() / BYTES_PER_KIB, self.limit / BYTES_PER_KIB)?;
+        for ((_, name), UseStatistics { held, peak, denials, .. }) in MemoryUse::NAMES.iter().zip(&self.uses)
+        {
+            let (held, peak) = (held.get() / BYTES_PER_KIB, peak.get() / BYTES_PER_KIB);
+            write!(f, " {name}_kib={held} {name}_peak_kib={peak} {name}_denials={}", denials.get())?;
+        }
+        Ok(())
+    }
+}
+
 /// Keeps the memory of a peer reclaimable until it is dropped.
 struct HolderRegistration<'a> {
     budget: &'a MemoryBudget,
@@ -326,44 +366,52 @@
 pub struct Reservation {
     /// `None` if the bytes are not counted at all.
     budget: Option<Rc<MemoryBudget>>,
-    size: usize,
+    reserved: ReservedSize,
+}
+
+/// The bytes of a reservation, and what they are used for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct ReservedSize {
+    bytes: usize,
+    /// The use that the bytes were last reserved for; `None` if there was none.
+    memory_use: Option<MemoryUse>,
 }
 
 impl Reservation {
     /// A reservation of no bytes in this budget.
     #[must_use]
     pub fn new(budget: Rc<MemoryBudget>) -> Self {
-        Self { budget: Some(budget), size: 0 }
+        Self { budget: Some(budget), reserved: ReservedSize::default() }
     }
 
     /// Another reservation in the same budget, of no bytes.
     #[must_use]
     pub fn sibling(&self) -> Self {
-        Self { budget: self.budget.clone(), size: 0 }
+        Self { budget: self.budget.clone(), reserved: ReservedSize { bytes: 0, ..self.reserved } }
     }
 
     /// The number of reserved bytes.
     #[must_use]
     pub fn size(&self) -> usize {
-        self.size
+        self.reserved.bytes
     }
 
     /// Changes the reservation to the counted size of an allocation. Returns false, without a change, if the
     /// budget has no room for that.
     pub fn try_resize(&mut self, memory_use: MemoryUse, allocation: usize) -> bool {
         let size = counted_size(allocation);
-        let has_room = |budget: &Rc<MemoryBudget>| budget.has_room(memory_use, size - self.size);
-        if size > self.size && !self.budget.as_ref().is_none_or(has_room) {
+        let has_room = |budget: &Rc<MemoryBudget>| budget.has_room(memory_use, size - self.size());
+        if size > self.size() && !self.budget.as_ref().is_none_or(has_room) {
             return false;
         }
-        self.set_size(size);
+        self.set(ReservedSize { bytes: size, memory_use: Some(memory_use) });
         true
     }
 
     /// Like [`try_resize`](Self::try_resize), but waits for memory to be reclaimed from stalled peers.
     pub async fn resize(&mut self, memory_use: MemoryUse, allocation: usize) -> bool {
         while !self.try_resize(memory_use, allocation) {
-            let additional = counted_size(allocation) - self.size;
+            let additional = counted_size(allocation) - self.size();
             let Some(budget) = &self.budget else { return true };
             if !budget.wait_for_room(memory_use, additional).await {
                 return false;
@@ -374,24 +422,20 @@
 
     /// Changes the reservation to the size of an allocation that exists already, even beyond the budget.
     pub fn record(&mut self, allocation: usize) {
-        self.set_size(counted_size(allocation));
+        self.set(ReservedSize { bytes: counted_size(allocation), ..self.reserved });
     }
 
-    fn set_size(&mut self, size: usize) {
-        if let Some(budget) = &self.budget {
-            if size > self.size {
-                budget.add(size - self.size);
-            } else if size < self.size {
-                budget.subtract(self.size - size);
-            }
+    fn set(&mut self, reserved: ReservedSize) {
+        let replaced = std::mem::replace(&mut self.reserved, reserved);
+        if let Some(budget) = self.budget.as_ref().filter(|_| replaced != reserved) {
+            budget.replace(replaced, reserved);
         }
-        self.size = size;
     }
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.set_size(0);
+        self.record(0);
     }
 }
 
@@ -399,82 +443,3 @@
 const fn counted_size(allocation: usize) -> usize {
     if allocation <= MAX_UNCOUNTED_SIZE { 0 } else { allocation }
 }
-
-/// The error of a read for which there is no memory.
-#[must_use]
-pub fn out_of_memory() -> io::Error {
-    io::ErrorKind::OutOfMemory.into()
-}
-
-/// Bytes whose allocation is reserved in a budget.
-#[derive(Debug, Default)]
-pub struct ReservedBytes {
-    // Declared before the reservation, so that the memory is free before it counts as free.
-    bytes: Vec<u8>,
-    reservation: Reservation,
-}
-
-impl ReservedBytes {
-    /// No bytes, for which memory will be reserved in the budget of `reservation`.
-    #[must_use]
-    pub fn new(reservation: Reservation) -> Self {
-        Self { bytes: Vec::new(), reservation }
-    }
-
-    /// A copy of `bytes`, counted in the same budget even if the budget has no room.
-    #[must_use]
-    pub fn copy(&self, bytes: &[u8]) -> Self {
-        let mut reservation = self.reservation.sibling();
-        reservation.record(bytes.len());
-        Self { bytes: bytes.to_vec(), reservation }
-    }
-
-    /// The number of counted bytes.
-    #[must_use]
-    pub fn counted_size(&self) -> usize {
-        self.reservation.size()
-    }
-
-    /// The bytes, which can be written to.
-    pub fn as_mut_slice(&mut self) -> &mut [u8] {
-        &mut self.bytes
-    }
-
-    /// Extends the bytes with zeros to `size` bytes. Returns false if the budget has no room for them.
-    pub fn try_extend_to(&mut self, memory_use: MemoryUse, size: usize) -> bool {
-        let is_reserved = self.reservation.try_resize(memory_use, size);
-        if is_reserved {
-            self.extend_exactly_to(size);
-        }
-        is_reserved
-    }
-
-    /// Like [`try_extend_to`](Self::try_extend_to), but waits for memory to be reclaimed from stalled peers.
-    pub async fn extend_to(&mut self, memory_use: MemoryUse, size: usize) -> bool {
-        let is_reserved = self.reservation.resize(memory_use, size).await;
-        if is_reserved {
-            self.extend_exactly_to(size);
-        }
-        is_reserved
-    }
-
-    fn extend_exactly_to(&mut self, size: usize) {
-        self.bytes.reserve_exact(size.saturating_sub(self.bytes.len()));
-        self.bytes.resize(size, 0);
-    }
-
-    /// Drops the bytes after the first `size`, and releases their memory.
-    pub fn shrink_to(&mut self, size: usize) {
-        self.bytes.truncate(size);
-        self.bytes.shrink_to_fit();
-        self.reservation.record(self.bytes.len());
-    }
-}
-
-impl Deref for ReservedBytes {
-    type Target = [u8];
-
-    fn deref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -1,5 +1,7 @@
 //! The pooler's counters, and the status report that contains them.
 
+use crate::client::connection_slots::EvictionClass;
+use crate::close_reason::CloseReason;
 use pooler_routing::{AttemptOutcome, TimeDelta};
 use std::cell::{Cell, RefCell};
 use std::fmt;
@@ -80,7 +82,11 @@
     pub refused_endpoints: Counter,
     /// The most memory that was counted at a time, in KiB.
     pub peak_counted_memory_kib: Counter,
+    /// The most memory that the process was seen to have allocated, in KiB.
+    pub peak_allocated_memory_kib: Counter,
     outcomes: [Counter; OUTCOME_NAMES.len()],
+    closes: [Counter; CloseReason::NAMES.len()],
+    evictions: [Counter; EvictionClass::NAMES.len()],
 }
 
 /// The name of each attempt outcome in the status report, in the order of output.
@@ -117,8 +123,19 @@
         }
     }
 
+    /// Counts a client connection that was closed for this reason.
+    pub fn record_close(&self, reason: CloseReason) {
+        self.closes[reason as usize].increment();
+    }
+
+    /// Counts an eviction of a client connection of this class.
+    pub fn record_eviction(&self, class: EvictionClass) {
+        self.evicted_connections.increment();
+        self.evictions[class as usize].increment();
+    }
+
     /// The counters with their names in the status report, in the order of output.
-    fn named(&self) -> [(&'static str, &Counter); 23] {
+    fn named(&self) -> [(&'static str, &Counter); 24] {
         [
             ("client_connections", &self.client_connections),
             ("rejected_connections", &self.rejected_connections),
@@ -143,6 +160,7 @@
             ("memory_denials", &self.memory_denials),
             ("refused_endpoints", &self.refused_endpoints),
             ("peak_counted_memory_kib", &self.peak_counted_memory_kib),
+            ("peak_allocated_memory_kib", &self.peak_allocated_memory_kib),
         ]
     }
 }
@@ -156,6 +174,12 @@
         for ((_, name), counter) in OUTCOME_NAMES.iter().zip(&self.outcomes) {
             write!(f, " outcome.{name}={}", counter.0.get())?;
         }
+        for ((_, name), counter) in CloseReason::NAMES.iter().zip(&self.closes) {
+            write!(f, " closed.{name}={}", counter.0.get())?;
+        }
+        for ((_, name), counter) in EvictionClass::NAMES.iter().zip(&self.evictions) {
+            write!(f, " evicted.{name}={}", counter.0.get())?;
+        }
         Ok(())
     }
 }
--- a/crates/proxy/src/pooler.rs
+++ b/crates/proxy/src/pooler.rs
@@ -72,5 +72,6 @@
             last.await;
         }));
         status_report.log();
+        tracing::info!("{} ends after its shutdown", self.name);
     }
 }
--- a/crates/proxy/src/server/connection.rs
+++ b/crates/proxy/src/server/connection.rs
@@ -3,8 +3,9 @@
 use super::attempt::AttemptError;
 use super::connection_limit::ConnectionPermit;
 use crate::buffer::{ReadBuffer, TcpConnection, write_all};
-use crate::memory_budget::{MemoryBudget, MemoryUse, Reservation, ReservedBytes};
+use crate::memory_budget::{MemoryBudget, MemoryUse, Reservation};
 use crate::protocol::{backend_tag, is_ready_for_query, parse_backend_message, parse_error_response, write};
+use crate::reserved_bytes::ReservedBytes;
 use crate::resource_exhaustion::is_resource_exhaustion;
 use async_io::Async;
 use std::io;
--- a/crates/proxy/src/server/connection_limit.rs
+++ b/crates/proxy/src/server/connection_limit.rs
@@ -21,6 +21,11 @@
         Self { open: Cell::new(0), max, released: Event::new() }
     }
 
+    /// The number of open connections.
+    pub(super) fn open(&self) -> usize {
+        self.open.get()
+    }
+
     /// Whether the number of open connections has reached the limit.
     pub(super) fn is_reached(&self) -> bool {
         self.open.get() >= self.max
--- a/crates/proxy/src/server/pool.rs
+++ b/crates/proxy/src/server/pool.rs
@@ -89,6 +89,12 @@
         oldest.is_some_and(|connections| connections.pop_front().is_some())
     }
 
+    /// The number of connections that are open or being opened.
+    #[must_use]
+    pub fn open_connections(&self) -> usize {
+        self.limit.open()
+    }
+
     /// Whether the router still sends new work to an endpoint.
     pub(super) fn accepts_new_work(&self, endpoint: &EndpointId) -> bool {
         self.router.accepts_new_work(endpoint)
--- a/crates/proxy/src/server/statement.rs
+++ b/crates/proxy/src/server/statement.rs
@@ -1,6 +1,6 @@
 //! The data that the client side and the server side exchange: a client's statement, and a server's response.
 
-use crate::memory_budget::ReservedBytes;
+use crate::reserved_bytes::ReservedBytes;
 use std::ops::Range;
 
 /// A client's statement in the buffer that it was read into. For an attempt, only the timeout in it is
--- a/crates/routing/src/membership/memory.rs
+++ b/crates/routing/src/membership/memory.rs
@@ -41,7 +41,12 @@
 
     /// Whether removed endpoints have to be evicted.
     pub(super) fn is_exceeded(&self) -> bool {
-        self.listed + self.removed > self.limit
+        self.total() > self.limit
+    }
+
+    /// The memory of all records.
+    pub(super) fn total(&self) -> usize {
+        self.listed + self.removed
     }
 
     fn part_of(&mut self, record: RecordMemory) -> &mut usize {
--- a/crates/routing/src/membership/table.rs
+++ b/crates/routing/src/membership/table.rs
@@ -74,6 +74,12 @@
         self
     }
 
+    /// The memory that the endpoints take up, here and in the router, in bytes.
+    #[must_use]
+    pub fn memory_used(&self) -> usize {
+        self.memory.total()
+    }
+
     /// Sets the limits beyond which snapshots of a source are suspected. Without limits, all are accepted.
     pub fn set_self_preservation(&mut self, source: SourceId, limits: SelfPreservation) {
         self.guards.insert(source, SnapshotGuard::new(limits));
