--- a/crates/pooler/tests/support/message_stream.rs
+++ b/crates/pooler/tests/support/message_stream.rs
@@ -68,6 +68,18 @@
         }
     }
 
+    /// The bytes that `write` writes to a stream.
+    pub fn recorded(write: impl FnOnce(&mut Self)) -> Vec<u8> {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut stream = Self::new(TcpStream::connect(listener.local_addr().unwrap()).unwrap());
+        let (mut receiver, _) = listener.accept().unwrap();
+        write(&mut stream);
+        drop(stream);
+        let mut bytes = Vec::new();
+        receiver.read_to_end(&mut bytes).unwrap();
+        bytes
+    }
+
     /// Writes bytes. Errors are ignored, since the pooler may have closed the connection.
     pub fn write_bytes(&mut self, bytes: &[u8]) {
         let _ = self.socket.write_all(bytes);
--- a/crates/pooler/tests/support/pooler_process.rs
+++ b/crates/pooler/tests/support/pooler_process.rs
@@ -191,6 +191,11 @@
         }
     }
 
+    /// The log lines that have not been waited for, joined.
+    pub fn remaining_log(&self) -> String {
+        self.log.try_iter().collect::<Vec<_>>().join("\n")
+    }
+
     /// Waits until the process ends.
     pub fn wait(&mut self) -> ExitStatus {
         self.child.wait().unwrap()
--- a/crates/service-registry/src/eureka/decoder.rs
+++ b/crates/service-registry/src/eureka/decoder.rs
@@ -12,6 +12,11 @@
 /// The maximum number of instances in one body. It keeps a body of the smallest possible instances from
 /// filling the memory.
 const MAX_INSTANCES: usize = 50_000;
+/// The memory of one claim without its names, in bytes: its place in a vector that doubles, and what the allocator
+/// adds to each name.
+const CLAIM_SIZE: usize = 2 * size_of::<EndpointClaim>() + 2 * NAME_OVERHEAD;
+/// The memory that the allocator adds to a name, in bytes.
+const NAME_OVERHEAD: usize = 32;
 /// The maximum number of unusable instances that are reported for one body.
 const MAX_REPORTED_PROBLEMS: usize = 8;
 /// The lowest snapshot version. No endpoint counts as missing from a snapshot with this version, because the
@@ -234,7 +239,7 @@
     }
 
     fn add_claim(&mut self, claim: EndpointClaim) {
-        self.claims_size += size_of::<EndpointClaim>() + claim.endpoint.0.len() + claim.zone.len();
+        self.claims_size += CLAIM_SIZE + claim.endpoint.0.len() + claim.zone.len();
         self.claims.push(claim);
     }
 
