Evict a stalled client after 0.1 s without a byte, not 0.5 s

Beside 700 clients that come again at once, each with a request and half of the next, at 256 descriptors, new clients found no slot in 7,692 of 8,451 connections: each client that had stopped kept its slot for 0.5 s. Clients that write slowly pause for less than 0.1 s between bytes in our soak, and are evicted only when a limit is reached; their command has not run.

--- a/crates/proxy/src/client/connection_slots.rs
+++ b/crates/proxy/src/client/connection_slots.rs
@@ -61,7 +61,7 @@
     const fn min_age(self) -> Duration {
         match self {
             Self::Unserved | Self::AwaitingFirstRequest => Duration::from_millis(5),
-            Self::Stalled => Duration::from_millis(500),
+            Self::Stalled => Duration::from_millis(100),
             Self::Idle => Duration::from_secs(2),
         }
     }
