Soak: a crowd of bad clients on a quarter of the seeds, and the memory limit

All seeds run at 32 MB, and the process has to stay below.

The draws of the other seeds are as they were.

--- a/crates/pooler/tests/soak/main.rs
+++ b/crates/pooler/tests/soak/main.rs
@@ -1,7 +1,8 @@
 //! A soak test. Clients keep sending requests on open connections until the earliest SIGKILL, while servers
 //! hang, close connections and drain, and the pooler receives signals in quick succession. On some seeds,
-//! many idle clients stay connected or the pooler is stopped (SIGSTOP) repeatedly. Each run is checked
-//! against the rules in [`history`] and [`load_client`].
+//! many idle clients stay connected, a crowd of bad clients comes again and again, or the pooler is stopped
+//! (SIGSTOP) repeatedly. Each run is checked against the rules in [`history`], [`load_client`] and
+//! [`bad_client`], and against the memory limit.
 //!
 //! `SOAK_SEEDS=1-60` runs other seeds, `SOAK_SLACK_MS=40` allows for shorter delays of the machine that runs
 //! the test, and `SOAK_QUIET_S=60` has all clients send nothing for 60 s before the configuration is
@@ -10,6 +11,7 @@
 #[path = "../support/mod.rs"]
 mod support;
 
+mod bad_client;
 mod faulty_server;
 mod history;
 mod load_client;
--- a/crates/pooler/tests/soak/run.rs
+++ b/crates/pooler/tests/soak/run.rs
@@ -1,6 +1,7 @@
 //! One run of the soak test: a pooler with its servers and clients, and the faults, reloads and signals that
 //! they go through.
 
+use crate::bad_client::BadClient;
 use crate::faulty_server;
 use crate::history::{DRAIN_GRACE, Drain, SharedHistory};
 use crate::load_client::LoadClient;
@@ -17,6 +18,10 @@
 const ACTIVE_CLIENTS: usize = 12;
 /// The number of clients that stay connected without a request, in runs at the connection limit.
 const IDLE_CLIENTS: usize = 70;
+/// The number of bad clients, in runs with a crowd of them.
+const BAD_CLIENTS: usize = 50;
+/// The pooler's memory limit: the least that the operators' pages name.
+const MEMORY_MIB: u64 = 32;
 /// The pooler's descriptor limit in runs at the connection limit.
 const SOCKETS_AT_CONNECTION_LIMIT: usize = 128;
 /// The pooler's descriptor limit in all other runs.
@@ -50,6 +55,8 @@
     deadline_ms: u64,
     /// Whether idle clients bring the pooler to its connection limit.
     at_connection_limit: bool,
+    /// Whether a crowd of bad clients comes again and again.
+    has_bad_clients: bool,
     /// Whether the pooler is stopped with SIGSTOP repeatedly.
     is_stopped_repeatedly: bool,
 }
@@ -60,10 +67,16 @@
             seed,
             deadline_ms: [300, 1_000, 3_000][seed as usize / 3 % 3],
             at_connection_limit: seed % 4 == 0,
+            has_bad_clients: seed % 4 == 2,
             is_stopped_repeatedly: seed % 3 == 1,
         }
     }
 
+    /// The time for which the pooler may be stopped while a client waits for an error.
+    fn longest_stop(&self) -> Duration {
+        if self.is_stopped_repeatedly { STOP_DURATION } else { Duration::ZERO }
+    }
+
     /// One configuration for each discovery service, all with the same endpoints.
     fn configurations(&self, discoveries: &[FakeDiscovery], servers: &[FakeServer]) -> Vec<PoolerConfig> {
         let sockets = if self.at_connection_limit {
@@ -77,6 +90,7 @@
         let configuration = |discovery: &FakeDiscovery| {
             PoolerConfig::new(discovery, entries.clone())
                 .sockets(sockets)
+                .with("/limits/memory_mb", MEMORY_MIB)
                 .with_every_class("Deadline", self.deadline_ms)
                 .with_every_class("Objective", self.deadline_ms / 2)
                 .with("/settings/Limits/DialTimeout", 250)
@@ -115,7 +129,17 @@
             requests_sent: 0,
         };
         let spawn = |client: LoadClient| std::thread::spawn(move || client.run());
-        let clients = (0..ACTIVE_CLIENTS).map(|index| spawn(client(index))).collect();
+        let bad_client = |index: usize| BadClient {
+            address: pooler.address,
+            random: SharedRandom::new(seed * 1_000 + index as u64),
+            slack: slack + plan.longest_stop(),
+            ended: ended.clone(),
+            history: history.clone(),
+        };
+        let bad_count = if plan.has_bad_clients { BAD_CLIENTS } else { 0 };
+        let spawn_bad = |client: BadClient| std::thread::spawn(move || client.run());
+        let clients = (0..ACTIVE_CLIENTS).map(|index| spawn(client(index)));
+        let clients = clients.chain((0..bad_count).map(|index| spawn_bad(bad_client(index)))).collect();
         let stop_thread = plan.is_stopped_repeatedly.then(|| {
             let (process, ended) = (pooler.id(), ended.clone());
             std::thread::spawn(move || stop_repeatedly(process, seed, &ended))
@@ -202,6 +226,16 @@
     Drain { endpoint: server.id, reported_at: Instant::now() }
 }
 
+/// Checks that the process has stayed below its memory limit.
+fn check_memory(pooler: &PoolerProcess, history: &SharedHistory) {
+    let counters = pooler.counters();
+    let peak = counters.split_once(" peak_allocated_memory_kib=").map_or("", |(_, rest)| rest);
+    let peak: Option<u64> = peak.split(' ').next().and_then(|text| text.parse().ok());
+    if !peak.is_some_and(|peak| peak <= MEMORY_MIB * 1_024) {
+        history.lock().unwrap().violations.push(format!("memory: {counters}"));
+    }
+}
+
 /// Sends the pooler several termination signals and a reload, and kills it at the earliest time for SIGKILL;
 /// returns its exit status if it exited before.
 fn shut_down(pooler: &mut PoolerProcess, deadline_ms: u64, history: &SharedHistory) -> Option<ExitStatus> {
@@ -240,6 +274,7 @@
     let watches = wait_for_watches(&discoveries[1], reloaded_at + WATCH_MOVE_LIMIT);
     let drain = report_drain(&watches, &servers[DRAINED_SERVER]);
     std::thread::sleep(TRAFFIC_BEFORE_SHUTDOWN / 2);
+    check_memory(&pooler, &history);
     let status = shut_down(&mut pooler, plan.deadline_ms, &history);
     let panicked = load.end();
     report(&plan, &history, &drain, slack, status, panicked)
@@ -263,11 +298,12 @@
         history.violations.push(format!("{panicked} client threads panicked"));
     }
     let figures = format!(
-        "seed {}: deadline {} ms, at connection limit {}, stopped repeatedly {}: \
+        "seed {}: deadline {} ms, at connection limit {}, bad clients {}, stopped repeatedly {}: \
          {} sent, {} answered, {} rejected, {} sent during a close, {} executed",
         plan.seed,
         plan.deadline_ms,
         plan.at_connection_limit,
+        plan.has_bad_clients,
         plan.is_stopped_repeatedly,
         history.requests.len(),
         history.answered,
