--- a/crates/pooler/src/registry_discovery.rs
+++ b/crates/pooler/src/registry_discovery.rs
@@ -80,7 +80,7 @@
 struct DirectorySink {
     updates: EndpointUpdates,
     registration: Rc<RegistrationState>,
-    /// The memory of the poll in progress.
+    /// The memory of the digest and of the poll in progress.
     reservation: Rc<RefCell<Reservation>>,
 }
 
--- a/crates/proxy/src/memory_budget.rs
+++ b/crates/proxy/src/memory_budget.rs
@@ -28,7 +28,7 @@
 /// of its own, and for the allocator's fragmentation.
 const BUDGET_DIVISOR: usize = 2;
 /// The share of the memory limit that the known endpoints may take.
-const ENDPOINTS_DIVISOR: usize = 6;
+const ENDPOINTS_DIVISOR: usize = 7;
 /// The interval at which a waiting task looks for peers that have stalled meanwhile.
 const RETRY_INTERVAL: Duration = Duration::from_millis(5);
 const BYTES_PER_KIB: usize = 1024;
--- a/crates/service-registry/src/eureka/digest.rs
+++ b/crates/service-registry/src/eureka/digest.rs
@@ -34,6 +34,12 @@
         Self { hasher: self.hasher.clone(), ..Self::default() }
     }
 
+    /// The memory that the digest takes up, in bytes: the map's table has a control byte for each place.
+    #[must_use]
+    pub fn memory_size(&self) -> usize {
+        self.statuses.capacity() * (size_of::<(u64, InstanceStatus)>() + 1)
+    }
+
     /// Creates the entry for an instance read from a body.
     #[must_use]
     pub fn entry(&self, instance: &Instance) -> DigestEntry {
--- a/crates/service-registry/src/sink.rs
+++ b/crates/service-registry/src/sink.rs
@@ -10,8 +10,8 @@
     fn now(&self) -> Timestamp;
     /// Merges a watch event into the membership and returns the effect.
     fn apply(&self, event: WatchEvent) -> MergeResult;
-    /// Changes the memory that is reserved for the poll in progress, in bytes. Returns false, without a change,
-    /// if there is not enough memory.
+    /// Changes the memory that is reserved for the digest and for the poll in progress, in bytes. Returns false,
+    /// without a change, if there is not enough memory.
     fn reserve_memory(&self, size: usize) -> bool;
     /// Writes one line to the operators' log.
     fn log(&self, line: &dyn fmt::Display);
--- a/crates/service-registry/src/watcher.rs
+++ b/crates/service-registry/src/watcher.rs
@@ -96,7 +96,8 @@
                 Err(error)
             }
         };
-        self.sink.reserve_memory(0);
+        // Fails only while the digest that was kept takes up all of the memory; then it stays counted as it was.
+        let _ = self.sink.reserve_memory(self.digest.memory_size());
         result
     }
 
@@ -229,7 +230,7 @@
     fn on_data(&mut self, data: &[u8]) -> Result<(), BodyError> {
         let Some(decoder) = &mut self.decoder else { return Ok(()) };
         decoder.push(data)?;
-        let has_memory = self.sink.reserve_memory(decoder.memory_size());
+        let has_memory = self.sink.reserve_memory(self.digest.memory_size() + decoder.memory_size());
         if has_memory { Ok(()) } else { Err(BodyError::OutOfMemory) }
     }
 }
--- a/crates/service-registry/tests/bodies.rs
+++ b/crates/service-registry/tests/bodies.rs
@@ -215,6 +215,27 @@
     assert!((20_000..200_000).contains(&kept), "{kept} bytes for 200 ids of 100 bytes");
 }
 
+#[test]
+fn the_memory_of_a_digest_grows_with_the_instances_of_all_applications() {
+    // Guards against a registry whose deltas name ever new instances of other applications.
+    const INSTANCES: usize = 2_000;
+    let (mapping, mut digest) = (mapping(), RegistryDigest::default());
+    for delta in 0..2 {
+        let poll = Poll { server: 0, fetch: FetchKind::Delta };
+        let mut decoder = BodyDecoder::new(&mapping, &digest, poll, BodyFormat::Json, MAX_BYTES);
+        let instances: Vec<String> = (0..INSTANCES)
+            .map(|number| ACTIVE.replace("s-1", &format!("{delta}-{number}")).replace("\"db\"", "\"other\""))
+            .collect();
+        let body =
+            format!(r#"{{"applications":{{"application":{{"instance":[{}]}}}}}}"#, instances.join(","));
+        decoder.push(body.as_bytes()).unwrap();
+        decoder.finish(&mut digest).unwrap();
+        let size = digest.memory_size();
+        let entries = (delta + 1) * INSTANCES * 16;
+        assert!((entries..4 * entries).contains(&size), "{size} bytes for {entries} bytes of entries");
+    }
+}
+
 #[test]
 fn a_delta_is_applied_to_the_digest_only_once_it_is_complete() {
     let (mapping, mut digest) = (mapping(), RegistryDigest::default());
