--- a/crates/routing/src/router/endpoints.rs
+++ b/crates/routing/src/router/endpoints.rs
@@ -115,8 +115,8 @@
         }
     }
 
-    /// Discards the state of these endpoints, and of groups that are no longer in use. That of an endpoint with
-    /// attempts in flight is discarded by a later call.
+    /// Discards the state of these endpoints, and of groups that are no longer in use. That of an endpoint
+    /// with attempts in flight is discarded by a later call.
     pub(super) fn evict(&mut self, ids: impl IntoIterator<Item = EndpointId>) {
         self.evicted.extend(ids);
         let Self { endpoints, groups, evicted, .. } = self;
