--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -137,7 +137,8 @@
     }
 
     /// Reads more bytes, unless the connection has to be closed because it is evicted, a command timed out,
-    /// or the pooler is shutting down. Bytes that can be read take precedence over all of these reasons.
+    /// or the pooler is shutting down. Bytes that can be read take precedence over all of these reasons, but not over
+    /// a release of the memory that the first part of a command holds.
     pub(super) async fn read_more(&mut self) -> Result<ReadOutcome, ClientError> {
         let is_between_commands = self.phase != SessionPhase::Startup && !self.has_partial_command();
         let stages = &self.context.shutdown_stages;
@@ -169,15 +170,8 @@
             Ok(ReadOutcome::Closed(CloseReason::Shutdown))
         };
         let read = read_once(&self.stream, &mut self.buffer, &mut self.read_ahead);
-        let (class, since) = match self.phase {
-            SessionPhase::Startup | SessionPhase::AwaitingFirstRequest => {
-                (EvictionClass::AwaitingFirstRequest, self.waiting_since)
-            }
-            SessionPhase::Established if is_between_commands => (EvictionClass::Idle, self.waiting_since),
-            SessionPhase::Established => (EvictionClass::Stalled, Instant::now()),
-        };
-        let work = or(read, or(timeout, shutdown));
-        let work = self.slot.while_evictable(class, since, work);
+        let (class, since) = eviction_order(self.phase, is_between_commands, self.waiting_since);
+        let work = self.slot.while_evictable(class, since, or(read, or(timeout, shutdown)));
         let outcome = self.context.memory.while_reclaimable(Stall::IncompleteCommand, held, work).await;
         if is_between_commands {
             self.restart_idle_time();
@@ -287,6 +281,22 @@
     }
 }
 
+/// When the connection of a client that is about to be read from is evicted: its class, and the time from which its age
+/// counts. That of a client in the middle of a command counts from its last byte.
+fn eviction_order(
+    phase: SessionPhase,
+    is_between_commands: bool,
+    waiting_since: Instant,
+) -> (EvictionClass, Instant) {
+    match phase {
+        SessionPhase::Startup | SessionPhase::AwaitingFirstRequest => {
+            (EvictionClass::AwaitingFirstRequest, waiting_since)
+        }
+        SessionPhase::Established if is_between_commands => (EvictionClass::Idle, waiting_since),
+        SessionPhase::Established => (EvictionClass::Stalled, Instant::now()),
+    }
+}
+
 async fn read_once(
     stream: &TcpConnection,
     buffer: &mut ReadBuffer,
