Play all that takes up memory at once, at the least memory

The bounds hold each by itself; the sum was played by hand only. The new test has the endpoints of the largest fleet, 500 clients of three kinds that come again at once, reloads in series and pauses after which all that has arrived is read.

--- a/crates/pooler/tests/overload/main.rs
+++ b/crates/pooler/tests/overload/main.rs
@@ -6,6 +6,7 @@
 
 mod endpoint_lists;
 mod established_clients;
+mod everything_at_once;
 mod memory;
 mod memory_monitor;
 mod new_connections;
