Tests that notice their fix missing: slots, reclaim, eviction for memory

They fail now: a request to go is looked at by one poll; a client's next byte is there whenever its task runs; removed endpoints are not evicted by their number.

--- a/crates/proxy/tests/connection_slots.rs
+++ b/crates/proxy/tests/connection_slots.rs
@@ -194,17 +194,16 @@
 #[test]
 fn a_client_that_has_stopped_in_a_command_is_evicted_before_an_idle_one() {
     // Guards against idle clients that lose their connections to clients that have stopped.
-    let slots = slots_with_limits(SlotLimits { clients: 8, rejected: 1, established: 1 });
-    let (idle_slot, stalled_slot, new_client) =
-        (admitted_client(&slots), admitted_client(&slots), slots.open());
+    let slots = slots_with_limits(LIMITS);
+    let (idle_slot, stalled_slot) = (admitted_client(&slots), admitted_client(&slots));
     let since = Instant::now();
     let mut idle = pin!(wait_until_evicted(&idle_slot, EvictionClass::Idle, since));
     let later = since + Duration::from_millis(1);
     let mut stalled = pin!(wait_until_evicted(&stalled_slot, EvictionClass::Stalled, later));
     assert!(!is_evicted(idle.as_mut()) && !is_evicted(stalled.as_mut()));
     sleep(EVICTABLE_AGE);
-    assert_eq!(run_while_evictable(stalled.as_mut(), new_client.admit()), Admission::Admitted);
-    assert!(!is_evicted(idle.as_mut()));
+    assert!(is_evicted_next(&slots, stalled.as_mut()));
+    assert!(is_evicted_next(&slots, idle.as_mut()));
 }
 
 #[test]
@@ -217,7 +216,8 @@
     let mut second = pin!(wait_until_evicted(&two, EvictionClass::Idle, since));
     assert!(!is_evicted(first.as_mut()) && !is_evicted(second.as_mut()));
     sleep(Duration::from_millis(200));
-    assert_eq!(block_on(new_client.admit()), Admission::Rejected);
+    let admission = block_on(poll_once(pin!(new_client.admit())));
+    assert_eq!(admission, Some(Admission::Rejected), "nobody is asked to go");
     assert!(!is_evicted(first.as_mut()) && !is_evicted(second.as_mut()));
 }
 
--- a/crates/proxy/tests/memory_budget.rs
+++ b/crates/proxy/tests/memory_budget.rs
@@ -1,7 +1,7 @@
 //! The memory budget: what each use may take, and from whom memory is reclaimed.
 
 use async_io::Timer;
-use futures_lite::future::{block_on, or, zip};
+use futures_lite::future::{block_on, or, yield_now, zip};
 use pooler_proxy::memory_budget::{
     MAX_UNCOUNTED_SIZE, MemoryBudget, MemoryLimits, MemoryUse, Reservation, Stall,
 };
@@ -90,8 +90,8 @@
         let budget = budget(80 * KIB);
         let sending = async {
             let held = reservation(&budget, MemoryUse::Command, 60 * KIB);
-            let byte = || Timer::after(Duration::from_millis(1));
-            while budget.while_reclaimable(stall, held.size(), byte()).await.is_some() {}
+            // Whenever the client's task runs, another byte has come.
+            while budget.while_reclaimable(stall, held.size(), yield_now()).await.is_some() {}
         };
         let listing = async {
             Timer::after(Duration::from_millis(10)).await;
--- a/crates/proxy/tests/parsers.rs
+++ b/crates/proxy/tests/parsers.rs
@@ -61,6 +61,7 @@
         noise in prop::collection::vec(any::<u8>(), 0..20),
         piece_size in 1_usize..70,
     ) {
+        // Guards against content that is lost, or read twice, where a chunk arrives in parts.
         let mut body = Vec::new();
         for chunk in &chunks {
             body.extend_from_slice(format!("{:x};x=1\r\n", chunk.len()).as_bytes());
--- a/crates/routing/tests/membership.rs
+++ b/crates/routing/tests/membership.rs
@@ -297,7 +297,8 @@
 #[test]
 fn removed_endpoints_are_evicted_for_new_ones() {
     // Guards against endpoints that are refused while the memory is taken up by removed ones.
-    let mut membership = new_membership().with_max_memory(FEW_ENDPOINTS_MEMORY);
+    let retention = TimeDelta::from_millis(60_000);
+    let mut membership = Membership::new(retention, usize::MAX).with_max_memory(FEW_ENDPOINTS_MEMORY);
     for number in 0..TOO_MANY_ENDPOINTS {
         let at_ms = 2 * number as i64;
         assert_eq!(merge_delta(&mut membership, at_ms, vec![active(number, 1)]).refused_endpoints, 0);
